--- /dev/null
+++ b/connection/endpoint_client.cpp
@@ -0,0 +1,83 @@
+#include "connection/endpoint_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace marjoramferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+constexpr size_t MaxProblemBytes = 200;
+
+std::string bodyFor(const CallEndpoint &command)
+{
+    const json head = {{"job_id", command.key.jobId},
+                       {"task_id", command.key.taskId},
+                       {"tenant", command.tenant},
+                       {"service", command.service}};
+    // The payload is JSON text already, so it is put in as it stands.
+    std::string body = head.dump();
+    body.pop_back();
+    return body + ",\"payload\":" + command.payload + "}";
+}
+
+bool saysNotRun(const json &body)
+{
+    return body.is_object() && body.contains("not_run") && body["not_run"] == true;
+}
+
+EndpointResult resultOf(const TaskKey &key, const HttpResult &http, int runMs)
+{
+    EndpointResult result;
+    result.key = key;
+    result.runMs = runMs;
+    if (http.outcome == HttpOutcome::NotSent) {
+        result.state = wire::StartState::REFUSED;
+        return result;
+    }
+    if (http.outcome == HttpOutcome::Uncertain) {
+        result.state = wire::StartState::UNCERTAIN;
+        result.output = http.problem;
+        return result;
+    }
+    const json body = json::parse(http.body, nullptr, false);
+    if (http.status == StatusUnavailable && saysNotRun(body)) {
+        result.state = wire::StartState::REFUSED;
+        return result;
+    }
+    if (http.status != StatusOk || !body.is_object() || !body.contains("output")) {
+        result.state = wire::StartState::FAILED;
+        result.output = "HTTP " + std::to_string(http.status) + " " + http.body.substr(0, MaxProblemBytes);
+        return result;
+    }
+    result.state = wire::StartState::SUCCEEDED;
+    result.output = body["output"].dump();
+    return result;
+}
+
+} // namespace
+
+EndpointClient::EndpointClient(HttpClient &http)
+    : http_(http)
+{
+}
+
+void EndpointClient::call(const CallEndpoint &command, Done done)
+{
+    HttpCall call;
+    call.url = "http://" + command.address + "/run";
+    call.body = bodyFor(command);
+    call.timeout = command.timeout;
+    call.notAfter = command.notAfter;
+    const auto startedAt = std::chrono::steady_clock::now();
+    http_.call(std::move(call), [key = command.key, startedAt, done = std::move(done)](const HttpResult &http) {
+        done(resultOf(key, http, millisecondsBetween(startedAt, std::chrono::steady_clock::now())));
+    });
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/process/metrics.cpp
@@ -0,0 +1,123 @@
+#include "process/metrics.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/synchronization/mutex.h>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <map>
+#include <vector>
+
+namespace marjoramferry {
+
+namespace {
+
+using Axis = boost::histogram::axis::variable<double>;
+using Histogram = decltype(boost::histogram::make_histogram(Axis({0.0, 1.0})));
+
+const std::vector<double> &bounds()
+{
+    static const std::vector<double> values
+        = {0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.35, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 20, 30, 60};
+    return values;
+}
+
+struct SeriesKey
+{
+    std::string metric;
+    std::string tenant;
+    std::string taskClass;
+
+    auto operator<=>(const SeriesKey &) const = default;
+};
+
+struct Series
+{
+    Histogram histogram = boost::histogram::make_histogram(Axis(bounds()));
+    double sum = 0;
+};
+
+std::string label(const std::string &value)
+{
+    return absl::StrReplaceAll(value, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}});
+}
+
+void renderSeries(std::string &text, const SeriesKey &key, const Series &series)
+{
+    const std::string name = "marjoramferry_" + key.metric;
+    const std::string labels = absl::StrCat("tenant=\"", label(key.tenant), "\",class=\"", label(key.taskClass), "\"");
+    double total = series.histogram.at(-1);
+    const auto &axis = series.histogram.axis();
+    for (int bin = 0; bin < axis.size(); ++bin) {
+        total += series.histogram.at(bin);
+        absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"", axis.bin(bin).upper(), "\"} ", total, "\n");
+    }
+    total += series.histogram.at(axis.size());
+    absl::StrAppend(&text, name, "_bucket{", labels, ",le=\"+Inf\"} ", total, "\n");
+    absl::StrAppend(&text, name, "_sum{", labels, "} ", series.sum, "\n");
+    absl::StrAppend(&text, name, "_count{", labels, "} ", total, "\n");
+}
+
+void renderCounter(std::string &text, const char *name, uint64_t value)
+{
+    absl::StrAppend(&text, "# TYPE marjoramferry_", name, " counter\nmarjoramferry_", name, " ", value, "\n");
+}
+
+} // namespace
+
+class Metrics::Impl
+{
+public:
+    void observe(const Observation &observation)
+    {
+        absl::MutexLock lock(&mutex_);
+        Series &series = series_[SeriesKey{observation.metric, observation.tenant, observation.taskClass}];
+        series.histogram(observation.seconds);
+        series.sum += observation.seconds;
+    }
+
+    std::string render() const
+    {
+        absl::MutexLock lock(&mutex_);
+        std::string text;
+        std::string last;
+        for (const auto &[key, series] : series_) {
+            if (key.metric != last) {
+                absl::StrAppend(&text, "# TYPE marjoramferry_", key.metric, " histogram\n");
+                last = key.metric;
+            }
+            renderSeries(text, key, series);
+        }
+        return text;
+    }
+
+private:
+    mutable absl::Mutex mutex_;
+    std::map<SeriesKey, Series> series_ ABSL_GUARDED_BY(mutex_);
+};
+
+Metrics::Metrics()
+    : impl_(std::make_unique<Impl>())
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::observe(const Observation &observation)
+{
+    impl_->observe(observation);
+}
+
+std::string Metrics::render(const LinkTraffic &traffic) const
+{
+    std::string text = impl_->render();
+    renderCounter(text, "link_messages_in_total", traffic.messagesIn);
+    renderCounter(text, "link_messages_out_total", traffic.messagesOut);
+    renderCounter(text, "link_bytes_in_total", traffic.bytesIn);
+    renderCounter(text, "link_bytes_out_total", traffic.bytesOut);
+    return text;
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/programs/command_line_tool.cpp
@@ -0,0 +1,221 @@
+#include "programs/command_line_tool.h"
+
+#include "connection/http_client.h"
+#include "core/error.h"
+#include "request/job_json.h"
+#include "version/json_fields.h"
+#include "version/release_note.h"
+
+#include <boost/program_options.hpp>
+
+#include <fstream>
+#include <future>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+namespace marjoramferry {
+
+using nlohmann::json;
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusCreated = 201;
+constexpr int DefaultTimeoutMs = 620'000;
+
+options::options_description describe()
+{
+    options::options_description description("marjoramferry [options] COMMAND\n"
+                                             "  submit FILE             submit a job and wait for its answer\n"
+                                             "  job show|cancel ID      look at a job, or cancel what has not started\n"
+                                             "  note publish FILE       publish the next release note\n"
+                                             "  note show               show what is in force\n"
+                                             "  domain out|in NAME      take a failure domain out, or bring it back\n"
+                                             "  status                  show entries, agents and queues\n"
+                                             "Options");
+    description.add_options()(
+        "entry", options::value<std::string>()->default_value("127.0.0.1:8080"), "host:port of an entry")(
+        "timeout-ms", options::value<int>()->default_value(DefaultTimeoutMs), "how long to wait for an answer")(
+        "json", "print the answer as JSON, for scripts")("help", "show this text")(
+        "words", options::value<std::vector<std::string>>(), "the command");
+    return description;
+}
+
+std::string readFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        throw Error(ErrorKind::Malformed, path, "can't be read", "give the path of a JSON file");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+HttpResult call(const ToolOptions &options, const std::string &method, const std::string &path, std::string body)
+{
+    HttpClient client(1);
+    std::promise<HttpResult> promise;
+    HttpCall request;
+    request.method = method;
+    request.url = "http://" + options.entry + path;
+    request.body = std::move(body);
+    request.timeout = Milliseconds(options.timeoutMs);
+    client.call(std::move(request), [&](HttpResult result) { promise.set_value(std::move(result)); });
+    return promise.get_future().get();
+}
+
+void printTable(const json &rows, std::ostream &out)
+{
+    if (!rows.is_array() || rows.empty()) {
+        return;
+    }
+    constexpr int Width = 18;
+    for (const auto &[name, value] : rows.front().items()) {
+        out << std::left << std::setw(Width) << name;
+    }
+    out << "\n";
+    for (const json &row : rows) {
+        for (const auto &[name, value] : row.items()) {
+            out << std::left << std::setw(Width) << (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+        out << "\n";
+    }
+}
+
+void printReadable(const json &body, std::ostream &out)
+{
+    if (!body.is_object()) {
+        out << body.dump(2) << "\n";
+        return;
+    }
+    for (const auto &[name, value] : body.items()) {
+        const bool isTable = value.is_array() && !value.empty() && value.front().is_object();
+        if (!isTable) {
+            out << name << ": " << (value.is_string() ? value.get<std::string>() : value.dump()) << "\n";
+        }
+    }
+    for (const auto &[name, value] : body.items()) {
+        if (value.is_array() && !value.empty() && value.front().is_object()) {
+            out << "\n" << name << "\n";
+            printTable(value, out);
+        }
+    }
+}
+
+bool nothingRan(const json &body)
+{
+    if (!body.is_object() || !body.contains("tasks") || !body["tasks"].is_array() || body["tasks"].empty()) {
+        return false;
+    }
+    return std::ranges::all_of(body["tasks"], [](const json &task) { return task.value("ran", "") == "no"; });
+}
+
+ExitCode exitCodeFor(const HttpResult &result, const json &body)
+{
+    if (result.outcome != HttpOutcome::Answered) {
+        return ExitCode::Unreachable;
+    }
+    const std::string status = body.is_object() ? body.value("status", "") : "";
+    if (status == "failed") {
+        return nothingRan(body) ? ExitCode::NotRun : ExitCode::Failed;
+    }
+    return result.status == StatusOk || result.status == StatusCreated ? ExitCode::Done : ExitCode::Failed;
+}
+
+int show(const ToolOptions &options, const HttpResult &result, std::ostream &out, std::ostream &problems)
+{
+    if (result.outcome != HttpOutcome::Answered) {
+        problems << "no answer from " << options.entry << ": " << result.problem
+                 << "; try another entry with --entry\n";
+        return static_cast<int>(ExitCode::Unreachable);
+    }
+    const json body = json::parse(result.body, nullptr, false);
+    if (options.asJson) {
+        out << result.body << "\n";
+    } else {
+        printReadable(body, out);
+    }
+    return static_cast<int>(exitCodeFor(result, body));
+}
+
+/** The method, path and body of one command. */
+struct Request
+{
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+Request requestFor(const std::vector<std::string> &words)
+{
+    const auto word = [&](size_t index) { return index < words.size() ? words[index] : std::string(); };
+    const std::string head = word(0) + " " + word(1);
+    if (word(0) == "submit" && words.size() == 2) {
+        std::string body = readFile(words[1]);
+        parseJob(body, JobBounds());
+        return {"POST", "/v1/jobs", std::move(body)};
+    }
+    if (word(0) == "status" && words.size() == 1) {
+        return {"GET", "/v1/status", ""};
+    }
+    if (head == "note show" && words.size() == 2) {
+        return {"GET", "/v1/notes/current", ""};
+    }
+    if (words.size() != 3) {
+        throw UsageError("no such command; see marjoramferry --help");
+    }
+    if (head == "note publish") {
+        std::string body = readFile(words[2]);
+        ReleaseNote::fromJson(body);
+        return {"POST", "/v1/notes", std::move(body)};
+    }
+    if (head == "job show") {
+        return {"GET", "/v1/jobs/" + words[2], ""};
+    }
+    if (head == "job cancel") {
+        return {"DELETE", "/v1/jobs/" + words[2], ""};
+    }
+    if (head == "domain out" || head == "domain in") {
+        return {"POST", "/v1/domains/" + words[2] + "/" + words[1], ""};
+    }
+    throw UsageError("no such command; see marjoramferry --help");
+}
+
+} // namespace
+
+ToolOptions parseToolOptions(int argc, char **argv)
+{
+    try {
+        options::positional_options_description positions;
+        positions.add("words", -1);
+        options::variables_map arguments;
+        options::store(options::command_line_parser(argc, argv).options(describe()).positional(positions).run(),
+                       arguments);
+        ToolOptions result;
+        result.entry = arguments["entry"].as<std::string>();
+        result.asJson = arguments.count("json") != 0;
+        result.timeoutMs = arguments["timeout-ms"].as<int>();
+        result.wantsHelp = arguments.count("help") != 0;
+        if (arguments.count("words") != 0) {
+            result.words = arguments["words"].as<std::vector<std::string>>();
+        }
+        return result;
+    } catch (const options::error &error) {
+        throw UsageError(std::string(error.what()) + "; see marjoramferry --help");
+    }
+}
+
+int runTool(const ToolOptions &options, std::ostream &out, std::ostream &problems)
+{
+    if (options.wantsHelp) {
+        out << describe();
+        return static_cast<int>(ExitCode::Done);
+    }
+    Request request = requestFor(options.words);
+    return show(options, call(options, request.method, request.path, std::move(request.body)), out, problems);
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/agent_core.cpp
@@ -0,0 +1,326 @@
+#include "request/agent_core.h"
+
+#include "core/error.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramferry {
+
+namespace {
+
+/** A late task still holds its slot at the endpoint, so its end is waited for beyond the deadline. */
+constexpr Milliseconds EndpointGrace{60'000};
+
+int64_t toMicroseconds(MonotonicTime time)
+{
+    return std::chrono::duration_cast<Microseconds>(time.time_since_epoch()).count();
+}
+
+MonotonicTime fromMicroseconds(int64_t count)
+{
+    return MonotonicTime(std::chrono::duration_cast<MonotonicTime::duration>(Microseconds(count)));
+}
+
+} // namespace
+
+AgentCore::AgentCore(AgentIdentity identity, AgentTiming timing, StartMemory memory)
+    : identity_(std::move(identity))
+    , timing_(timing)
+    , gate_(memory)
+    , freshness_(timing.freshness)
+{
+}
+
+std::vector<AgentCommand> AgentCore::handle(const AgentEvent &event, MonotonicTime now)
+{
+    std::visit(Overloaded{
+                   [&](const Tick &) { onTick(now); },
+                   [&](const PeerMessage &each) { onPeerMessage(each, now); },
+                   [&](const PeerClosed &each) { startsSeen_.erase(each.address); },
+                   [&](const EndpointAnnouncement &each) { onAnnouncement(each, now); },
+                   [&](const EndpointResult &each) { onEndpointResult(each, now); },
+                   [&](const DrainAsked &) { onDrain(); },
+               },
+               event);
+    return std::exchange(out_, {});
+}
+
+void AgentCore::onTick(MonotonicTime now)
+{
+    gate_.expire(now);
+    if (endpoint_ && now - announcedAt_ > timing_.announceLapse) {
+        out_.emplace_back(LogEvent{LogEvent::Level::Warning, "endpoint_lapsed", {{"endpoint", endpoint_->name}}});
+        endpoint_.reset();
+    }
+    if (!lastHeartbeat_ || now - *lastHeartbeat_ >= timing_.heartbeat) {
+        sendHeartbeats(now);
+    }
+    stopIfIdle(now);
+}
+
+void AgentCore::onPeerMessage(const PeerMessage &event, MonotonicTime now)
+{
+    std::visit(
+        Overloaded{
+            [&](const wire::HeartbeatReply &each) { onHeartbeatReply(each, now); },
+            [&](const wire::StartTasks &each) { onStartTasks(event.address, each, now); },
+            [&](const wire::ResolveTasks &each) { onResolveTasks(event.address, each, now); },
+            [&](const wire::Fence &each) { onFence(event.address, each); },
+            [&](const auto &) {
+                out_.emplace_back(LogEvent{LogEvent::Level::Warning, "unexpected_message", {{"peer", event.address}}});
+            },
+        },
+        event.message);
+}
+
+void AgentCore::onHeartbeatReply(const wire::HeartbeatReply &reply, MonotonicTime now)
+{
+    // Epochs first: a registered agent has seen those in force when it was registered.
+    for (const wire::ShardEpoch &each : reply.epochs) {
+        gate_.fence(each.shard, each.epoch);
+    }
+    if (reply.registration != 0) {
+        registration_ = reply.registration;
+    }
+    if (reply.__isset.owners && reply.ownershipVersion > ownershipVersion_) {
+        ownershipVersion_ = reply.ownershipVersion;
+        owners_.clear();
+        std::ranges::transform(reply.owners, std::back_inserter(owners_), &wire::OwnerAddress::address);
+    }
+    if (reply.__isset.catalog && reply.noteVersion > catalog_.version) {
+        try {
+            catalog_ = Catalog::fromJson(reply.catalog);
+        } catch (const Error &error) {
+            out_.emplace_back(LogEvent{LogEvent::Level::Warning, "catalog_refused", {{"reason", error.what()}}});
+            return;
+        }
+        out_.emplace_back(LogEvent{LogEvent::Level::Info,
+                                   "note_in_force",
+                                   {{"version", absl::StrCat(catalog_.version)}, {"domain", identity_.domain}}});
+    }
+    // Evidence counts from when this agent asked, less the age that it had at its source.
+    const MonotonicTime at = std::min(now, fromMicroseconds(reply.echoedSentAtUs)) - Microseconds(reply.ageUs);
+    if (reply.fresh && reply.noteVersion == catalog_.version) {
+        freshness_.confirm(reply.noteVersion, at);
+    }
+}
+
+void AgentCore::onStartTasks(const std::string &from, const wire::StartTasks &message, MonotonicTime now)
+{
+    if (gate_.fence(message.shard, message.epoch)) {
+        reporters_[message.shard] = from;
+    }
+    for (const wire::Task &task : message.tasks) {
+        startTask(from, message, task, now);
+    }
+}
+
+void AgentCore::startTask(const std::string &from,
+                          const wire::StartTasks &message,
+                          const wire::Task &task,
+                          MonotonicTime now)
+{
+    ++startsSeen_[from];
+    const TaskKey key{message.jobId, task.taskId};
+    const StartOrder order{message.epoch, message.sequence};
+    if (const auto known = gate_.find(key, order)) {
+        report(from, key, *known, wire::RefusalKind::NONE);
+        return;
+    }
+    const wire::RefusalKind::type refusal = refusalFor(message, now);
+    if (refusal != wire::RefusalKind::NONE) {
+        report(from, key, StartKnown{}, refusal);
+        return;
+    }
+    std::visit(Overloaded{
+                   [&](const StartAdmitted &) {
+                       running_[key] = RunningTask{message.shard, message.tenant, now};
+                       const Milliseconds patience = Milliseconds(message.remainingMs) + EndpointGrace;
+                       out_.emplace_back(CallEndpoint{key,
+                                                      endpoint_->address,
+                                                      message.tenant,
+                                                      message.serviceName,
+                                                      task.payload,
+                                                      *freshness_.notAfter(),
+                                                      patience});
+                   },
+                   [&](const StartKnown &known) { report(from, key, known, wire::RefusalKind::NONE); },
+                   [&](const StartRefused &refused) { report(from, key, StartKnown{}, refused.kind); },
+               },
+               gate_.admit(key, message.shard, order, now));
+}
+
+wire::RefusalKind::type AgentCore::refusalFor(const wire::StartTasks &message, MonotonicTime now) const
+{
+    if (message.incarnation != identity_.incarnation) {
+        return wire::RefusalKind::OTHER_INCARNATION;
+    }
+    if (isLeaving()) {
+        return wire::RefusalKind::LEAVING;
+    }
+    if (registration_ == 0 || !freshness_.isFresh(now)) {
+        return wire::RefusalKind::NOT_FRESH;
+    }
+    if (message.serviceName != endpoint_->service
+        || !catalog_.allowsStart(message.serviceName, endpoint_->name, identity_.domain)) {
+        return wire::RefusalKind::WITHDRAWN;
+    }
+    if (message.remainingMs <= 0) {
+        return wire::RefusalKind::LATE;
+    }
+    if (freeSlots() <= 0) {
+        return wire::RefusalKind::NO_SLOT;
+    }
+    return wire::RefusalKind::NONE;
+}
+
+void AgentCore::onResolveTasks(const std::string &from, const wire::ResolveTasks &message, MonotonicTime now)
+{
+    if (!gate_.fence(message.shard, message.epoch)) {
+        return;
+    }
+    reporters_[message.shard] = from;
+    for (const std::string &taskId : message.taskIds) {
+        const TaskKey key{message.jobId, taskId};
+        const StartOrder order{message.epoch, message.sequence};
+        report(from, key, gate_.resolve(key, message.shard, order, now), wire::RefusalKind::NONE);
+    }
+}
+
+void AgentCore::onFence(const std::string &from, const wire::Fence &message)
+{
+    const bool isNewest
+        = std::ranges::all_of(message.epochs, [&](const auto &each) { return gate_.fence(each.shard, each.epoch); });
+    if (!isNewest || registration_ == 0) {
+        return;
+    }
+    std::vector<int> shards;
+    std::ranges::transform(message.epochs, std::back_inserter(shards), &wire::ShardEpoch::shard);
+    std::ranges::for_each(shards, [&](int shard) { reporters_[shard] = from; });
+    wire::StartRecords reply;
+    reply.requestId = message.requestId;
+    reply.agent = identity_.name;
+    reply.incarnation = identity_.incarnation;
+    reply.registration = registration_;
+    reply.records = gate_.recordsOf(shards);
+    out_.emplace_back(SendToPeer{from, std::move(reply)});
+}
+
+void AgentCore::onAnnouncement(const EndpointAnnouncement &announcement, MonotonicTime now)
+{
+    if (!endpoint_ || endpoint_->name != announcement.name || endpoint_->leaving != announcement.leaving) {
+        out_.emplace_back(LogEvent{LogEvent::Level::Info,
+                                   announcement.leaving ? "endpoint_leaving" : "endpoint_announced",
+                                   {{"endpoint", announcement.name}, {"domain", identity_.domain}}});
+        lastHeartbeat_.reset();
+    }
+    endpoint_ = announcement;
+    announcedAt_ = now;
+}
+
+void AgentCore::onEndpointResult(const EndpointResult &result, MonotonicTime now)
+{
+    const auto found = running_.find(result.key);
+    if (found == running_.end()) {
+        return;
+    }
+    const RunningTask task = found->second;
+    running_.erase(found);
+    gate_.finish(result.key, result.state, result.output, result.runMs);
+    const auto outcome = result.state == wire::StartState::SUCCEEDED ? "succeeded" : "not_succeeded";
+    out_.emplace_back(
+        Observation{"task_seconds", task.tenant, outcome, std::chrono::duration<double>(now - task.startedAt).count()});
+    const StartKnown state{result.state, result.output, false, result.runMs};
+    const auto refusal
+        = result.state == wire::StartState::REFUSED ? wire::RefusalKind::LEAVING : wire::RefusalKind::NONE;
+    report(reporters_[task.shard], result.key, state, refusal);
+    stopIfIdle(now);
+}
+
+void AgentCore::onDrain()
+{
+    draining_ = true;
+    lastHeartbeat_.reset();
+    out_.emplace_back(LogEvent{LogEvent::Level::Info, "draining", {{"running", absl::StrCat(running_.size())}}});
+}
+
+void AgentCore::sendHeartbeats(MonotonicTime now)
+{
+    lastHeartbeat_ = now;
+    wire::Heartbeat heartbeat;
+    heartbeat.agent = identity_.name;
+    heartbeat.incarnation = identity_.incarnation;
+    heartbeat.registration = registration_;
+    heartbeat.domain = identity_.domain;
+    heartbeat.sentAtUs = toMicroseconds(now);
+    heartbeat.noteVersion = catalog_.version;
+    heartbeat.ownershipVersion = ownershipVersion_;
+    heartbeat.leaving = isLeaving();
+    heartbeat.finished = draining_ && running_.empty();
+    heartbeat.freeSlots = freeSlots();
+    if (endpoint_) {
+        heartbeat.endpoint = endpoint_->name;
+        heartbeat.serviceName = endpoint_->service;
+        heartbeat.slots = endpoint_->slots;
+        heartbeat.capacity = endpoint_->capacity;
+    }
+    for (const std::string &address : peersForHeartbeat(now)) {
+        heartbeat.startsSeen = startsSeen_[address];
+        out_.emplace_back(SendToPeer{address, heartbeat});
+    }
+}
+
+std::set<std::string> AgentCore::peersForHeartbeat(MonotonicTime now) const
+{
+    std::set<std::string> peers(owners_.begin(), owners_.end());
+    if (owners_.empty() || !freshness_.isFresh(now)) {
+        peers.insert(identity_.entries.begin(), identity_.entries.end());
+    }
+    return peers;
+}
+
+void AgentCore::report(const std::string &to,
+                       const TaskKey &key,
+                       const StartKnown &state,
+                       wire::RefusalKind::type refusal)
+{
+    wire::TaskReport message;
+    message.jobId = key.jobId;
+    message.taskId = key.taskId;
+    message.state = state.state;
+    message.refusal = refusal;
+    message.output = state.output;
+    message.outputDropped = state.outputDropped;
+    message.runMs = state.runMs;
+    message.freeSlots = freeSlots();
+    message.agent = identity_.name;
+    message.startsSeen = startsSeen_[to];
+    out_.emplace_back(SendToPeer{to, std::move(message)});
+}
+
+void AgentCore::stopIfIdle(MonotonicTime now)
+{
+    if (!draining_ || !running_.empty()) {
+        return;
+    }
+    sendHeartbeats(now);
+    out_.emplace_back(Stop{});
+}
+
+int AgentCore::freeSlots() const
+{
+    if (isLeaving()) {
+        return 0;
+    }
+    return std::max(0, endpoint_->slots - static_cast<int>(running_.size()));
+}
+
+bool AgentCore::isLeaving() const
+{
+    return draining_ || !endpoint_ || endpoint_->leaving;
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/agent_directory.cpp
@@ -0,0 +1,178 @@
+#include "request/agent_directory.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace marjoramferry {
+
+namespace {
+
+constexpr int ProbationAfterFailures = 5;
+constexpr int MostProbationDoublings = 10;
+
+bool isBusyRefusal(wire::RefusalKind::type kind)
+{
+    return kind == wire::RefusalKind::NO_SLOT || kind == wire::RefusalKind::LATE;
+}
+
+} // namespace
+
+bool AgentView::isOnProbation() const
+{
+    return failuresInRow >= ProbationAfterFailures;
+}
+
+bool AgentView::fits(const wire::Needs &needs) const
+{
+    return needs.cpus <= capacity.cpus && needs.memoryMb <= capacity.memoryMb
+        && needs.accelerators <= capacity.accelerators;
+}
+
+AgentDirectory::AgentDirectory(DirectoryTiming timing)
+    : timing_(timing)
+{
+}
+
+std::optional<AgentView> AgentDirectory::update(LinkId link, const wire::Heartbeat &heartbeat, MonotonicTime now)
+{
+    std::optional<AgentView> replaced;
+    const auto found = agents_.find(heartbeat.agent);
+    if (found != agents_.end() && (found->second.link != link || found->second.incarnation != heartbeat.incarnation)) {
+        replaced = found->second;
+        byLink_.erase(found->second.link);
+        agents_.erase(found);
+    }
+    AgentView &view = agents_[heartbeat.agent];
+    view.name = heartbeat.agent;
+    view.incarnation = heartbeat.incarnation;
+    view.registration = heartbeat.registration;
+    view.link = link;
+    view.endpoint = heartbeat.endpoint;
+    view.service = heartbeat.serviceName;
+    view.domain = heartbeat.domain;
+    view.slots = heartbeat.slots;
+    view.capacity = heartbeat.capacity;
+    view.noteVersion = heartbeat.noteVersion;
+    view.leaving = heartbeat.leaving;
+    view.freeReported = heartbeat.freeSlots;
+    view.startsSeen = heartbeat.startsSeen;
+    view.lastHeard = now;
+    byLink_[link] = heartbeat.agent;
+    return replaced;
+}
+
+void AgentDirectory::noteReport(const wire::TaskReport &report, MonotonicTime now)
+{
+    const auto found = agents_.find(report.agent);
+    if (found == agents_.end()) {
+        return;
+    }
+    AgentView &view = found->second;
+    view.freeReported = report.freeSlots;
+    view.startsSeen = report.startsSeen;
+    view.lastHeard = now;
+    noteOutcome(view, report, now);
+}
+
+void AgentDirectory::noteOutcome(AgentView &view, const wire::TaskReport &report, MonotonicTime now) const
+{
+    if (report.state == wire::StartState::SUCCEEDED) {
+        view.failuresInRow = 0;
+        return;
+    }
+    if (report.state == wire::StartState::REFUSED) {
+        if (!isBusyRefusal(report.refusal)) {
+            view.blockedUntil = std::max(view.blockedUntil, now + timing_.refusalPause);
+        }
+        return;
+    }
+    if (report.state == wire::StartState::RUNNING) {
+        return;
+    }
+    ++view.failuresInRow;
+    if (view.isOnProbation()) {
+        const int doublings = std::min(view.failuresInRow - ProbationAfterFailures, MostProbationDoublings);
+        const Milliseconds pause = timing_.probationStep * (1 << doublings);
+        view.blockedUntil = now + std::min(pause, timing_.probationMost);
+    }
+}
+
+void AgentDirectory::noteStartsSent(const std::string &agent, int count)
+{
+    if (const auto found = agents_.find(agent); found != agents_.end()) {
+        found->second.startsSent += count;
+    }
+}
+
+std::optional<AgentView> AgentDirectory::removeLink(LinkId link)
+{
+    const auto found = byLink_.find(link);
+    if (found == byLink_.end()) {
+        return std::nullopt;
+    }
+    const auto agent = agents_.find(found->second);
+    byLink_.erase(found);
+    if (agent == agents_.end()) {
+        return std::nullopt;
+    }
+    AgentView view = std::move(agent->second);
+    agents_.erase(agent);
+    return view;
+}
+
+std::vector<AgentView> AgentDirectory::removeSilent(MonotonicTime now)
+{
+    std::vector<LinkId> silent;
+    for (const AgentView &view : agents_ | std::views::values) {
+        if (now - view.lastHeard > timing_.silence) {
+            silent.push_back(view.link);
+        }
+    }
+    std::vector<AgentView> removed;
+    for (const LinkId link : silent) {
+        if (auto view = removeLink(link)) {
+            removed.push_back(std::move(*view));
+        }
+    }
+    return removed;
+}
+
+const AgentView *AgentDirectory::find(const std::string &agent) const
+{
+    const auto found = agents_.find(agent);
+    return found == agents_.end() ? nullptr : &found->second;
+}
+
+std::vector<const AgentView *>
+AgentDirectory::available(const std::string &service, const Catalog &catalog, MonotonicTime now) const
+{
+    std::vector<const AgentView *> result;
+    for (const AgentView &view : agents_ | std::views::values) {
+        const bool isOpen = view.registration != 0 && !view.leaving && view.service == service
+            && view.blockedUntil <= now && view.freeSlots() > 0;
+        const bool probes = view.isOnProbation() && view.freeSlots() < view.slots;
+        if (isOpen && !probes && catalog.allowsStart(service, view.endpoint, view.domain)) {
+            result.push_back(&view);
+        }
+    }
+    return result;
+}
+
+bool AgentDirectory::anyFits(const std::string &service, const wire::Needs &needs) const
+{
+    return std::ranges::any_of(agents_ | std::views::values,
+                               [&](const AgentView &view) { return view.service == service && view.fits(needs); });
+}
+
+int AgentDirectory::slotsOf(const std::string &service, const Catalog &catalog) const
+{
+    int slots = 0;
+    for (const AgentView &view : agents_ | std::views::values) {
+        if (view.service == service && !view.leaving && catalog.allowsStart(service, view.endpoint, view.domain)) {
+            slots += view.slots;
+        }
+    }
+    return slots;
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/entry_command.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/table.h"
+#include "core/time.h"
+#include "request/agent_core.h"
+#include "request/log_event.h"
+#include "request/message.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace marjoramferry {
+
+/** Names an inbound connection for as long as it lives. Zero is this process itself. */
+using LinkId = uint64_t;
+inline constexpr LinkId LocalLink = 0;
+
+/** The module of the entry that made a table call and gets its result. */
+enum class TableUser { Versions, Claims, Recovery, Publisher, Registrar };
+
+struct SendToLink
+{
+    LinkId link = LocalLink;
+    Message message;
+};
+
+struct HttpReply
+{
+    uint64_t token = 0;
+    int status = 200;
+    std::string body;
+    int retryAfterMs = 0; ///< Sent as Retry-After when above zero.
+    std::string contentType = "application/json";
+};
+
+struct TableCall
+{
+    TableUser user = TableUser::Versions;
+    int64_t callId = 0; ///< Meaningful to the user only.
+    TableRequest request;
+};
+
+using EntryCommand = std::variant<SendToLink, SendToPeer, HttpReply, TableCall, LogEvent, Observation, Stop>;
+
+/** Collects what the modules of an entry want done. */
+class EntryOutbox
+{
+public:
+    template<typename Command>
+    void add(Command command)
+    {
+        commands_.emplace_back(std::move(command));
+    }
+
+    void log(LogEvent::Level level, std::string event, std::vector<LogField> fields)
+    {
+        add(LogEvent{level, std::move(event), std::move(fields)});
+    }
+
+    std::vector<EntryCommand> take()
+    {
+        return std::exchange(commands_, {});
+    }
+
+private:
+    std::vector<EntryCommand> commands_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/entry_core.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/agent_directory.h"
+#include "request/agent_registrar.h"
+#include "request/entry_command.h"
+#include "request/job_json.h"
+#include "request/job_owner.h"
+#include "request/job_router.h"
+#include "version/note_publisher.h"
+#include "version/version_keeper.h"
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace marjoramferry {
+
+/** Everything that an entry decides by. */
+struct EntryOptions
+{
+    std::string name;
+    std::string address; ///< host:port of its Thrift listener, as others reach it.
+    std::string incarnation; ///< New with every start of the process.
+    KeeperTiming keeper;
+    OwnerTiming owner;
+    RouterTiming router;
+    PublisherTiming publisher;
+    DirectoryTiming directory;
+    JobBounds bounds;
+    size_t maxWaitingRequests = 2000;
+    Milliseconds inForceMargin{100}; ///< Added to the freshness bound before a change is called in force.
+    std::string placement = "least-loaded";
+    uint64_t seed = 1;
+};
+
+struct HttpRequest
+{
+    uint64_t token = 0;
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+struct LinkMessage
+{
+    LinkId link = LocalLink;
+    Message message;
+};
+
+struct LinkClosed
+{
+    LinkId link = LocalLink;
+};
+
+struct TableDone
+{
+    TableUser user = TableUser::Versions;
+    int64_t callId = 0;
+    TableResult result;
+};
+
+using EntryEvent
+    = std::variant<Tick, HttpRequest, LinkMessage, LinkClosed, PeerMessage, PeerClosed, TableDone, DrainAsked>;
+
+/** The time of an event. */
+struct EventTime
+{
+    MonotonicTime now;
+    int64_t wallMs = 0; ///< Unix milliseconds; only for what is kept in rows.
+};
+
+/** The decisions of an entry. Pure: what happens and when comes in, what to do comes out. */
+class EntryCore
+{
+public:
+    explicit EntryCore(EntryOptions options);
+
+    std::vector<EntryCommand> handle(const EntryEvent &event, EventTime time);
+
+private:
+    /** A call of an operator that is answered when its note is in force everywhere. */
+    struct InForceWait
+    {
+        uint64_t token = 0;
+        int64_t version = 0;
+        MonotonicTime inForceAt;
+    };
+
+    void onTick(EventTime time);
+    void onHttp(const HttpRequest &request, MonotonicTime now);
+    bool onFixedPath(const HttpRequest &request, MonotonicTime now);
+    bool onJobPath(const HttpRequest &request, MonotonicTime now);
+    bool onDomainPath(const HttpRequest &request, MonotonicTime now);
+    void onSubmission(const HttpRequest &request, MonotonicTime now);
+    void onLinkMessage(const LinkMessage &event, MonotonicTime now);
+    void onLinkClosed(LinkId link, MonotonicTime now);
+    void onPeerMessage(const PeerMessage &event, MonotonicTime now);
+    void onHeartbeat(LinkId link, const wire::Heartbeat &heartbeat, MonotonicTime now);
+    void replyToHeartbeat(LinkId link, const wire::Heartbeat &heartbeat, MonotonicTime now);
+    void onTableDone(const TableDone &event, MonotonicTime now);
+    void publish(const HttpRequest &request, ReleaseNote note, bool isDomainChange, MonotonicTime now);
+    void answerPublications();
+    void answerInForce(MonotonicTime now);
+    void handOverShards();
+    void leaveWhenDrained();
+    void afterEvent(EventTime time);
+    void deliverLocal(std::vector<LocalRequest> requests, MonotonicTime now);
+    void deliverReplies(MonotonicTime now);
+    void rejoinAfterDeposition();
+    void reply(uint64_t token, int status, const std::string &body, int retryAfterMs = 0);
+    void replyError(uint64_t token, const Error &error);
+    std::string renderNotes() const;
+    std::string renderStatus(MonotonicTime now) const;
+
+    const EntryOptions options_;
+    EntryOutbox out_;
+    VersionKeeper keeper_;
+    NotePublisher publisher_;
+    AgentDirectory directory_;
+    AgentRegistrar registrar_;
+    JobOwner owner_;
+    JobRouter router_;
+    std::map<int, std::string> handOver_; ///< Heirs of the shards that refuse new jobs.
+    std::vector<InForceWait> inForceWaits_;
+    int64_t seenOwnership_ = 0;
+    int64_t seenFence_ = 0;
+    int incarnations_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/placement.cpp
@@ -0,0 +1,74 @@
+#include "request/placement.h"
+
+#include "core/error.h"
+
+#include <algorithm>
+
+namespace marjoramferry {
+
+namespace {
+
+using Candidates = std::vector<const AgentView *>;
+
+const AgentView *drawFrom(const Candidates &candidates, std::mt19937_64 &random)
+{
+    std::uniform_int_distribution<size_t> draw(0, candidates.size() - 1);
+    return candidates[draw(random)];
+}
+
+double freeShare(const AgentView *view)
+{
+    return static_cast<double>(view->freeSlots()) / std::max(1, view->slots);
+}
+
+const AgentView *choose(LeastLoaded &policy, const Candidates &candidates)
+{
+    const double best = freeShare(*std::ranges::max_element(candidates, {}, freeShare));
+    Candidates ties;
+    std::ranges::copy_if(
+        candidates, std::back_inserter(ties), [&](const AgentView *view) { return freeShare(view) >= best; });
+    return drawFrom(ties, policy.random);
+}
+
+const AgentView *choose(RandomPlacement &policy, const Candidates &candidates)
+{
+    return drawFrom(candidates, policy.random);
+}
+
+const AgentView *choose(RoundRobin &policy, const Candidates &candidates)
+{
+    return candidates[policy.next++ % candidates.size()];
+}
+
+} // namespace
+
+Placement makePlacement(const std::string &name, uint64_t seed)
+{
+    if (name == "least-loaded") {
+        return LeastLoaded{std::mt19937_64(seed)};
+    }
+    if (name == "random") {
+        return RandomPlacement{std::mt19937_64(seed)};
+    }
+    if (name == "round-robin") {
+        return RoundRobin{};
+    }
+    throw Error(ErrorKind::Settings,
+                "[entry] placement",
+                "\"" + name + "\" is not a policy",
+                "use least-loaded, random or round-robin");
+}
+
+const AgentView *place(Placement &placement, const Candidates &candidates, const wire::Needs &needs)
+{
+    Candidates fitting;
+    std::ranges::copy_if(candidates, std::back_inserter(fitting), [&](const AgentView *view) {
+        return view->freeSlots() > 0 && view->fits(needs);
+    });
+    if (fitting.empty()) {
+        return nullptr;
+    }
+    return std::visit([&](auto &policy) { return choose(policy, fitting); }, placement);
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/scripts/generate_wire.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Regenerates the committed Thrift types. Needs Debian's thrift-compiler, which the build does not.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+thrift --gen cpp:no_skeleton,moveable_types -out wire/generated wire/messages.thrift
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Builds and runs the tests, then the tests with real processes. Tests named in KNOWN-RED.txt are
+# run by scripts/known_red.sh in their place.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh release | tail -n 1
+passed=0
+failed=0
+report() {
+    if [ "$2" -eq 0 ]; then
+        passed=$((passed + 1))
+        echo "passed: $1"
+    else
+        failed=$((failed + 1))
+        echo "FAILED: $1"
+    fi
+}
+for program in decision_tests promise_tests io_tests; do
+    status=0
+    build/release/tests/"$program" $(scripts/known_red.sh --exclusions "$program") || status=$?
+    report "$program" "$status"
+done
+for script in tests/processes/*_test.sh; do
+    grep -q "^test: $script" KNOWN-RED.txt && continue
+    status=0
+    "$script" || status=$?
+    report "$script" "$status"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/standins/marjoramferry_standin.cpp
@@ -0,0 +1,84 @@
+#include "core/error.h"
+#include "standins/endpoint_standin.h"
+#include "standins/table_standin.h"
+
+#include <boost/program_options.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <iostream>
+
+namespace options = boost::program_options;
+using namespace marjoramferry;
+
+namespace {
+
+std::atomic<bool> stopping{false};
+
+void onSignal(int)
+{
+    stopping = true;
+}
+
+int runTable(const options::variables_map &arguments)
+{
+    const TableStandin table(arguments["listen"].as<std::string>());
+    while (!stopping) {
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+    return 0;
+}
+
+int runEndpoint(const options::variables_map &arguments)
+{
+    EndpointOptions endpoint;
+    endpoint.listenAddress = arguments["listen"].as<std::string>();
+    endpoint.agentAddress = arguments["agent"].as<std::string>();
+    endpoint.name = arguments["name"].as<std::string>();
+    endpoint.service = arguments["service"].as<std::string>();
+    endpoint.slots = arguments["slots"].as<int>();
+    endpoint.startLog = arguments["start-log"].as<std::string>();
+    EndpointStandin standin(endpoint);
+    standin.run([] { return stopping.load(); });
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    options::options_description description("marjoramferry-standin table|endpoint [options]");
+    description.add_options()("kind", options::value<std::string>(), "table or endpoint")(
+        "listen", options::value<std::string>()->required(), "host:port to listen on")(
+        "agent", options::value<std::string>()->default_value(""), "HTTP face of the agent")(
+        "name", options::value<std::string>()->default_value("endpoint"), "name of the endpoint")(
+        "service", options::value<std::string>()->default_value("orders"), "service of the endpoint")(
+        "slots", options::value<int>()->default_value(8), "tasks at once")(
+        "start-log", options::value<std::string>()->default_value(""), "file for the starts");
+    options::positional_options_description positions;
+    positions.add("kind", 1);
+    std::signal(SIGTERM, onSignal);
+    std::signal(SIGINT, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        options::variables_map arguments;
+        options::store(options::command_line_parser(argc, argv).options(description).positional(positions).run(),
+                       arguments);
+        options::notify(arguments);
+        const std::string kind = arguments.count("kind") != 0 ? arguments["kind"].as<std::string>() : std::string();
+        if (kind == "table") {
+            return runTable(arguments);
+        }
+        if (kind == "endpoint") {
+            return runEndpoint(arguments);
+        }
+        std::cerr << "name a stand-in: table or endpoint\n" << description;
+        return 2;
+    } catch (const options::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return 2;
+    } catch (const Error &error) {
+        std::cerr << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/standins/table_model.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/table.h"
+
+#include <map>
+#include <string>
+
+namespace marjoramferry {
+
+/** The table service's rows and transactions, in memory. Not safe for use by several threads. */
+class TableModel
+{
+public:
+    TableResult apply(const TableRequest &request);
+
+    int64_t version() const
+    {
+        return version_;
+    }
+
+    const std::map<std::string, Row> &rows() const
+    {
+        return rows_;
+    }
+
+private:
+    TableResult read(const TableRead &read) const;
+    TableResult commit(const TableTransaction &transaction);
+
+    std::map<std::string, Row> rows_;
+    int64_t version_ = 0;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/standins/table_standin.cpp
@@ -0,0 +1,126 @@
+#include "standins/table_standin.h"
+
+#include "core/error.h"
+#include "request/job_json.h"
+#include "version/json_fields.h"
+
+namespace marjoramferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusMalformed = 400;
+constexpr int StatusConflict = 409;
+constexpr int StatusLost = 500;
+constexpr int StatusOutage = 503;
+constexpr int MaxLatencyMs = 60'000;
+
+TableTransaction parseTransaction(const json &body)
+{
+    TableTransaction transaction;
+    for (const json &each : body.at("conditions")) {
+        transaction.conditions.push_back(RowCondition{each.at("key"), each.at("version")});
+    }
+    for (const json &each : body.at("puts")) {
+        transaction.puts.push_back(RowPut{each.at("key"), each.at("value")});
+    }
+    transaction.deletes = body.at("deletes").get<std::vector<std::string>>();
+    return transaction;
+}
+
+json render(const TableResult &result)
+{
+    json body = {{"version", result.version}, {"rows", json::array()}};
+    for (const Row &row : result.rows) {
+        body["rows"].push_back({{"key", row.key}, {"version", row.version}, {"value", row.value}});
+    }
+    return body;
+}
+
+HttpServerOptions serverOptions(const std::string &listenAddress)
+{
+    HttpServerOptions options;
+    options.listenAddress = listenAddress;
+    options.maxBodyBytes = 64U << 20U;
+    return options;
+}
+
+} // namespace
+
+TableStandin::TableStandin(const std::string &listenAddress)
+    : http_(
+        serverOptions(listenAddress),
+        [this](const HttpRequest &request) { return onRequest(request); },
+        [](const HttpRequest &) { return std::nullopt; })
+{
+}
+
+bool TableStandin::onRequest(const HttpRequest &request)
+{
+    Milliseconds latency{0};
+    HttpReply reply;
+    {
+        absl::MutexLock lock(&mutex_);
+        reply = answer(request);
+        latency = request.path == "/faults" ? Milliseconds(0) : faults_.latency;
+    }
+    reply.token = request.token;
+    if (latency.count() == 0) {
+        http_.reply(reply);
+    } else {
+        delayed_.after(latency, [this, reply] { http_.reply(reply); });
+    }
+    return true;
+}
+
+HttpReply TableStandin::answer(const HttpRequest &request)
+{
+    try {
+        if (request.path == "/faults") {
+            setFaults(request.body);
+            return HttpReply{0, StatusOk, "{}"};
+        }
+        if (request.path == "/counts") {
+            return HttpReply{0, StatusOk, json{{"reads", reads_}, {"transactions", transactions_}}.dump()};
+        }
+        if (faults_.outage) {
+            return HttpReply{0, StatusOutage, "{}"};
+        }
+        return answerTable(request);
+    } catch (const Error &error) {
+        return HttpReply{0, StatusMalformed, renderError(error)};
+    } catch (const json::exception &error) {
+        return HttpReply{0, StatusMalformed, json{{"error", error.what()}}.dump()};
+    }
+}
+
+HttpReply TableStandin::answerTable(const HttpRequest &request)
+{
+    const json body = parseJson(request.body, "body");
+    if (request.path == "/v1/read") {
+        ++reads_;
+        return HttpReply{0, StatusOk, render(model_.apply(TableRead{body.at("prefix")})).dump()};
+    }
+    ++transactions_;
+    const TableResult result = model_.apply(parseTransaction(body));
+    if (faults_.loseAnswers) {
+        return HttpReply{0, StatusLost, "{}"};
+    }
+    const int status = result.outcome == TableOutcome::Conflict ? StatusConflict : StatusOk;
+    return HttpReply{0, status, render(result).dump()};
+}
+
+void TableStandin::setFaults(const std::string &body)
+{
+    const json parsed = parseJson(body, "faults");
+    requireOnlyFields(parsed, "", {"latency_ms", "outage", "lose_answers"});
+    TableFaults faults;
+    faults.latency = Milliseconds(optionalInteger(parsed, "", "latency_ms", 0, 0, MaxLatencyMs));
+    faults.outage = optionalBool(parsed, "", "outage", false);
+    faults.loseAnswers = optionalBool(parsed, "", "lose_answers", false);
+    faults_ = faults;
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/standins/table_standin.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "connection/http_server.h"
+#include "standins/delayed_replies.h"
+#include "standins/table_model.h"
+
+#include <absl/synchronization/mutex.h>
+
+#include <string>
+
+namespace marjoramferry {
+
+/** Faults of the table service that POST /faults switches. */
+struct TableFaults
+{
+    Milliseconds latency{0};
+    bool outage = false; ///< Answers 503 and does nothing.
+    bool loseAnswers = false; ///< Transactions take effect and are answered 500.
+};
+
+/** The platform's table service, in memory, over HTTP. */
+class TableStandin
+{
+public:
+    explicit TableStandin(const std::string &listenAddress);
+
+private:
+    bool onRequest(const HttpRequest &request);
+    HttpReply answer(const HttpRequest &request);
+    HttpReply answerTable(const HttpRequest &request);
+    void setFaults(const std::string &body);
+
+    absl::Mutex mutex_;
+    TableModel model_;
+    TableFaults faults_;
+    int64_t reads_ = 0;
+    int64_t transactions_ = 0;
+    DelayedReplies delayed_;
+    HttpServer http_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/version/ownership_map.cpp
@@ -0,0 +1,132 @@
+#include "version/ownership_map.h"
+
+#include "core/error.h"
+#include "version/json_fields.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace marjoramferry {
+
+using nlohmann::json;
+
+namespace {
+
+void moveShard(ShardOwnership &shard, const std::string &heir, int64_t nowMs)
+{
+    if (!shard.owner.empty()) {
+        shard.predecessors.push_back(Predecessor{shard.owner, nowMs});
+    }
+    shard.owner = heir;
+    ++shard.epoch;
+}
+
+} // namespace
+
+std::vector<int> OwnershipMap::shardsOf(const std::string &incarnation) const
+{
+    std::vector<int> result;
+    std::ranges::copy_if(std::views::iota(0, ShardCount), std::back_inserter(result), [&](int index) {
+        return shard(index).owner == incarnation;
+    });
+    return result;
+}
+
+OwnershipMap OwnershipMap::withOwner(const std::string &incarnation, const Owner &owner, int64_t nowMs) const
+{
+    OwnershipMap next = *this;
+    next.owners_[incarnation] = owner;
+    for (ShardOwnership &shard : next.shards_) {
+        if (shard.owner.empty()) {
+            moveShard(shard, incarnation, nowMs);
+        }
+    }
+    return next;
+}
+
+OwnershipMap OwnershipMap::withoutOwner(const std::string &gone, const std::string &heir, int64_t nowMs) const
+{
+    OwnershipMap next = *this;
+    next.owners_.erase(gone);
+    for (ShardOwnership &shard : next.shards_) {
+        if (shard.owner == gone) {
+            moveShard(shard, heir, nowMs);
+        }
+    }
+    return next;
+}
+
+OwnershipMap OwnershipMap::withShardMoved(int index, const std::string &heir, int64_t nowMs) const
+{
+    OwnershipMap next = *this;
+    moveShard(next.shards_.at(static_cast<size_t>(index)), heir, nowMs);
+    return next;
+}
+
+OwnershipMap OwnershipMap::withPredecessorsPruned(int64_t beforeMs) const
+{
+    OwnershipMap next = *this;
+    for (ShardOwnership &shard : next.shards_) {
+        std::erase_if(shard.predecessors, [&](const Predecessor &each) { return each.endedAtMs < beforeMs; });
+    }
+    return next;
+}
+
+std::vector<int> OwnershipMap::surplusFor(const std::string &from, const std::string &to) const
+{
+    if (owners_.empty()) {
+        return {};
+    }
+    const auto share = static_cast<size_t>(ShardCount) / owners_.size();
+    std::vector<int> held = shardsOf(from);
+    const size_t wanted = share - std::min(share, shardsOf(to).size());
+    const size_t spare = held.size() - std::min(held.size(), share);
+    held.resize(std::min(wanted, spare));
+    return held;
+}
+
+std::string OwnershipMap::toJson() const
+{
+    json result = {{"owners", json::object()}, {"shards", json::array()}};
+    for (const auto &[incarnation, owner] : owners_) {
+        result["owners"][incarnation] = {{"name", owner.name}, {"address", owner.address}};
+    }
+    for (const ShardOwnership &shard : shards_) {
+        json predecessors = json::array();
+        for (const Predecessor &each : shard.predecessors) {
+            predecessors.push_back({{"incarnation", each.incarnation}, {"ended_at_ms", each.endedAtMs}});
+        }
+        result["shards"].push_back({{"owner", shard.owner}, {"epoch", shard.epoch}, {"before", predecessors}});
+    }
+    return result.dump();
+}
+
+OwnershipMap OwnershipMap::fromJson(const std::string &text)
+{
+    const json parsed = parseJson(text, "ownership row");
+    try {
+        OwnershipMap result;
+        for (const auto &[incarnation, owner] : parsed.at("owners").items()) {
+            result.owners_[incarnation]
+                = Owner{owner.at("name").get<std::string>(), owner.at("address").get<std::string>()};
+        }
+        const json &shards = parsed.at("shards");
+        if (shards.size() != static_cast<size_t>(ShardCount)) {
+            throw Error(ErrorKind::Malformed, "ownership row", "has another shard count", "run one release everywhere");
+        }
+        for (size_t index = 0; index < shards.size(); ++index) {
+            ShardOwnership &shard = result.shards_.at(index);
+            shard.owner = shards[index].at("owner").get<std::string>();
+            shard.epoch = shards[index].at("epoch").get<int64_t>();
+            for (const json &each : shards[index].at("before")) {
+                shard.predecessors.push_back(
+                    Predecessor{each.at("incarnation").get<std::string>(), each.at("ended_at_ms").get<int64_t>()});
+            }
+        }
+        return result;
+    } catch (const json::exception &failure) {
+        throw Error(ErrorKind::Malformed, "ownership row", failure.what(), "see docs/OPERATIONS.md, damaged rows");
+    }
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/version/version_keeper.cpp
@@ -0,0 +1,260 @@
+#include "version/version_keeper.h"
+
+#include "core/error.h"
+#include "version/json_fields.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+namespace marjoramferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds ChangeRetry{200};
+
+std::string fenceKey(const std::string &incarnation)
+{
+    return rows::FencePrefix + incarnation;
+}
+
+} // namespace
+
+std::string NoteHead::toJson() const
+{
+    return json{{"version", version}, {"nonce", nonce}}.dump();
+}
+
+NoteHead NoteHead::fromRow(const Row &row)
+{
+    const json parsed = parseJson(row.value, row.key);
+    try {
+        return NoteHead{parsed.at("version").get<int64_t>(), row.version, parsed.at("nonce").get<std::string>()};
+    } catch (const json::exception &failure) {
+        throw Error(ErrorKind::Malformed, row.key, failure.what(), "see docs/OPERATIONS.md, damaged rows");
+    }
+}
+
+VersionKeeper::VersionKeeper(SelfOwner self, KeeperTiming timing)
+    : self_(std::move(self))
+    , timing_(timing)
+    , freshness_(timing.freshness)
+{
+}
+
+void VersionKeeper::setSelf(SelfOwner self)
+{
+    self_ = std::move(self);
+    joinSentAt_.reset();
+    moves_.clear();
+}
+
+std::vector<KeeperRequest> VersionKeeper::dueRequests(MonotonicTime now, int64_t wallMs)
+{
+    std::vector<KeeperRequest> due;
+    if (!polling_ && now >= nextPoll_) {
+        polling_ = true;
+        pollSentAt_ = now;
+        nextPoll_ = now + timing_.poll;
+        due.push_back(KeeperRequest{KeeperCall::Poll, TableRead{rows::HeadPrefix}});
+    }
+    if (wantedHead_ && !readingCatalog_) {
+        readingCatalog_ = true;
+        due.push_back(KeeperRequest{KeeperCall::Catalog, TableRead{Catalog::keyOf(wantedHead_->version)}});
+    }
+    if (!changingOwnership_ && lastPollDone_ && now >= nextChange_) {
+        if (auto change = ownershipChange(now, wallMs)) {
+            changingOwnership_ = true;
+            nextChange_ = now + ChangeRetry;
+            due.push_back(KeeperRequest{KeeperCall::Ownership, std::move(*change)});
+        }
+    }
+    return due;
+}
+
+void VersionKeeper::onResult(KeeperCall call, const TableResult &result, MonotonicTime now)
+{
+    switch (call) {
+    case KeeperCall::Poll:
+        polling_ = false;
+        if (result.outcome == TableOutcome::Done) {
+            onPoll(result, now);
+        }
+        return;
+    case KeeperCall::Catalog:
+        readingCatalog_ = false;
+        if (result.outcome == TableOutcome::Done) {
+            onCatalog(result);
+        }
+        return;
+    case KeeperCall::Ownership:
+        // Whatever the answer says, only what a poll shows counts.
+        changingOwnership_ = false;
+        pollSoon();
+        return;
+    }
+}
+
+void VersionKeeper::onPoll(const TableResult &result, MonotonicTime now)
+{
+    NoteHead head;
+    std::map<std::string, int64_t> fences;
+    for (const Row &row : result.rows) {
+        if (row.key == rows::NoteHead) {
+            head = NoteHead::fromRow(row);
+        } else if (row.key == rows::OwnershipHead) {
+            adoptOwnership(row);
+        } else if (row.key.starts_with(rows::FencePrefix)) {
+            fences[row.key.substr(std::string_view(rows::FencePrefix).size())] = row.version;
+        }
+    }
+    noteFences(fences, now);
+    lastPollDone_ = now;
+    if (head.version == catalog_.version) {
+        noteHead_ = head;
+        freshness_.confirm(head.version, pollSentAt_);
+    } else if (head.version > catalog_.version) {
+        wantedHead_ = head;
+        wantedHeadAt_ = pollSentAt_;
+    }
+}
+
+void VersionKeeper::onCatalog(const TableResult &result)
+{
+    if (!wantedHead_) {
+        return;
+    }
+    const std::string key = Catalog::keyOf(wantedHead_->version);
+    const auto row = std::ranges::find(result.rows, key, &Row::key);
+    const NoteHead head = *std::exchange(wantedHead_, std::nullopt);
+    if (row == result.rows.end()) {
+        return;
+    }
+    Catalog next = Catalog::fromJson(row->value);
+    if (next.version <= catalog_.version) {
+        return;
+    }
+    catalog_ = std::move(next);
+    noteHead_ = head;
+    freshness_.confirm(head.version, wantedHeadAt_);
+}
+
+void VersionKeeper::adoptOwnership(const Row &row)
+{
+    if (row.version <= ownershipVersion_) {
+        return;
+    }
+    ownership_ = OwnershipMap::fromJson(row.value);
+    ownershipVersion_ = row.version;
+    std::erase_if(moves_, [&](const auto &move) { return ownership_.shard(move.first).owner != self_.incarnation; });
+}
+
+void VersionKeeper::noteFences(const std::map<std::string, int64_t> &fences, MonotonicTime now)
+{
+    const bool hadGap = !lastPollDone_ || now - *lastPollDone_ > timing_.largestPollGap;
+    std::map<std::string, FenceSeen> next;
+    for (const auto &[incarnation, version] : fences) {
+        const auto known = fences_.find(incarnation);
+        const bool isUnchanged = known != fences_.end() && known->second.version == version && !hadGap;
+        next[incarnation] = FenceSeen{version, isUnchanged ? known->second.since : now};
+    }
+    fences_ = std::move(next);
+}
+
+int64_t VersionKeeper::ownFenceVersion() const
+{
+    const auto found = fences_.find(self_.incarnation);
+    return found == fences_.end() ? 0 : found->second.version;
+}
+
+void VersionKeeper::proposeMoves(const std::vector<int> &shards, const std::string &heir)
+{
+    for (const int shard : shards) {
+        moves_[shard] = heir;
+    }
+}
+
+void VersionKeeper::proposeLeave()
+{
+    leaving_ = true;
+}
+
+std::optional<TableTransaction> VersionKeeper::ownershipChange(MonotonicTime now, int64_t wallMs)
+{
+    const bool isOwner = ownership_.owners().contains(self_.incarnation);
+    if (!moves_.empty() && isOwner) {
+        OwnershipMap next = ownership_;
+        for (const auto &[shard, heir] : moves_) {
+            if (next.shard(shard).owner == self_.incarnation && next.owners().contains(heir)) {
+                next = next.withShardMoved(shard, heir, wallMs);
+            }
+        }
+        moves_.clear();
+        return next == ownership_ ? std::nullopt : std::optional(transactionFor(next));
+    }
+    if (leaving_) {
+        if (!isOwner) {
+            return std::nullopt;
+        }
+        TableTransaction transaction = transactionFor(ownership_.withoutOwner(self_.incarnation, "", wallMs));
+        transaction.deletes.push_back(fenceKey(self_.incarnation));
+        return transaction;
+    }
+    return joinOrTakeOver(now, wallMs);
+}
+
+std::optional<TableTransaction> VersionKeeper::joinOrTakeOver(MonotonicTime now, int64_t wallMs)
+{
+    const bool isOwner = ownership_.owners().contains(self_.incarnation);
+    const auto silent = silentOwner(now);
+    const bool hasRoom = ownership_.owners().size() < timing_.maxOwners;
+    if (!silent && (isOwner || !hasRoom)) {
+        return std::nullopt;
+    }
+    OwnershipMap next = ownership_.withPredecessorsPruned(wallMs - timing_.predecessorsKeptMs);
+    if (silent) {
+        next = next.withoutOwner(*silent, isOwner ? self_.incarnation : std::string(), wallMs);
+    }
+    if (!isOwner) {
+        next = next.withOwner(self_.incarnation, self_.owner, wallMs);
+    }
+    TableTransaction transaction = transactionFor(next);
+    if (!isOwner) {
+        transaction.conditions.push_back(RowCondition{fenceKey(self_.incarnation), 0});
+        transaction.puts.push_back(RowPut{fenceKey(self_.incarnation), "0"});
+        joinSentAt_ = joinSentAt_.value_or(now);
+    }
+    if (silent) {
+        const auto fence = fences_.find(*silent);
+        const int64_t version = fence == fences_.end() ? 0 : fence->second.version;
+        transaction.conditions.push_back(RowCondition{fenceKey(*silent), version});
+        transaction.deletes.push_back(fenceKey(*silent));
+    }
+    return transaction;
+}
+
+std::optional<std::string> VersionKeeper::silentOwner(MonotonicTime now) const
+{
+    const auto isSilent = [&](const std::string &incarnation) {
+        if (incarnation == self_.incarnation) {
+            return false;
+        }
+        const auto fence = fences_.find(incarnation);
+        return fence == fences_.end() || now - fence->second.since >= timing_.takeover;
+    };
+    const auto names = ownership_.owners() | std::views::keys;
+    const auto found = std::ranges::find_if(names, isSilent);
+    return found == names.end() ? std::nullopt : std::optional<std::string>(*found);
+}
+
+TableTransaction VersionKeeper::transactionFor(const OwnershipMap &next) const
+{
+    TableTransaction transaction;
+    transaction.conditions.push_back(RowCondition{rows::OwnershipHead, ownershipVersion_});
+    transaction.puts.push_back(RowPut{rows::OwnershipHead, next.toJson()});
+    return transaction;
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/version/version_keeper.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "core/table.h"
+#include "core/time.h"
+#include "version/catalog.h"
+#include "version/freshness.h"
+#include "version/ownership_map.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace marjoramferry {
+
+struct KeeperTiming
+{
+    Milliseconds poll{250}; ///< Pace of reading the head rows.
+    Milliseconds freshness{2000}; ///< Evidence older than this does not count.
+    Milliseconds takeover{3000}; ///< An owner that renewed nothing for so long is replaced.
+    Milliseconds largestPollGap{1500}; ///< After a longer gap an owner's silence counts anew.
+    int64_t predecessorsKeptMs = 1'200'000; ///< Wall time; at least twice the horizon of claims.
+    size_t maxOwners = 4;
+};
+
+/** This entry as an owner. */
+struct SelfOwner
+{
+    std::string incarnation;
+    Owner owner;
+};
+
+/** What kind of call to the table service the keeper made. */
+enum class KeeperCall { Poll, Catalog, Ownership };
+
+struct KeeperRequest
+{
+    KeeperCall call = KeeperCall::Poll;
+    TableRequest request;
+};
+
+/** What a read of the head rows said of the note in force. */
+struct NoteHead
+{
+    int64_t version = 0; ///< Of the note.
+    int64_t rowVersion = 0; ///< Of the row; zero when there is none.
+    std::string nonce; ///< Names the publication that wrote it.
+
+    auto operator<=>(const NoteHead &) const = default;
+
+    std::string toJson() const;
+
+    /** Throws Malformed. */
+    static NoteHead fromRow(const Row &row);
+};
+
+/**
+ * Keeps the catalog and the ownership map current by reading a few small rows at a fixed pace, and
+ * proposes changes of ownership: to join, to replace a silent owner, to hand shards over.
+ *
+ * Versions only go up: what a lagging read brings is ignored.
+ */
+class VersionKeeper
+{
+public:
+    VersionKeeper(SelfOwner self, KeeperTiming timing);
+
+    /** The calls that are due now. At most one of each kind is in flight. */
+    std::vector<KeeperRequest> dueRequests(MonotonicTime now, int64_t wallMs);
+
+    /** Takes in the result of a call. Throws Malformed when a row is damaged; nothing is changed then. */
+    void onResult(KeeperCall call, const TableResult &result, MonotonicTime now);
+
+    /** Makes the next poll due at once. */
+    void pollSoon()
+    {
+        nextPoll_ = MonotonicTime{};
+    }
+
+    /** Proposes that @p index goes to @p heir. It takes effect if a later poll shows it. */
+    void proposeMoves(const std::vector<int> &shards, const std::string &heir);
+
+    /** Proposes to leave: the shards left go to nobody, and the fence row is removed. */
+    void proposeLeave();
+
+    /** Takes a new incarnation after this one was deposed. */
+    void setSelf(SelfOwner self);
+
+    bool isFresh(MonotonicTime now) const
+    {
+        return freshness_.isFresh(now);
+    }
+
+    const Freshness &freshness() const
+    {
+        return freshness_;
+    }
+
+    const Catalog &catalog() const
+    {
+        return catalog_;
+    }
+
+    const NoteHead &noteHead() const
+    {
+        return noteHead_;
+    }
+
+    const OwnershipMap &ownership() const
+    {
+        return ownership_;
+    }
+
+    /** Version of the ownership row; zero when there is none. */
+    int64_t ownershipVersion() const
+    {
+        return ownershipVersion_;
+    }
+
+    const SelfOwner &self() const
+    {
+        return self_;
+    }
+
+    /** Version of this incarnation's fence row as last read; zero when there is none. */
+    int64_t ownFenceVersion() const;
+
+    /** When the transaction that made this incarnation an owner was first sent. */
+    std::optional<MonotonicTime> joinSentAt() const
+    {
+        return joinSentAt_;
+    }
+
+private:
+    struct FenceSeen
+    {
+        int64_t version = 0;
+        MonotonicTime since; ///< Unchanged from here on, without a gap in the polls.
+    };
+
+    void onPoll(const TableResult &result, MonotonicTime now);
+    void onCatalog(const TableResult &result);
+    void adoptOwnership(const Row &row);
+    void noteFences(const std::map<std::string, int64_t> &fences, MonotonicTime now);
+    std::optional<TableTransaction> ownershipChange(MonotonicTime now, int64_t wallMs);
+    std::optional<TableTransaction> joinOrTakeOver(MonotonicTime now, int64_t wallMs);
+    std::optional<std::string> silentOwner(MonotonicTime now) const;
+    TableTransaction transactionFor(const OwnershipMap &next) const;
+
+    SelfOwner self_;
+    const KeeperTiming timing_;
+    Freshness freshness_;
+    Catalog catalog_;
+    NoteHead noteHead_;
+    std::optional<NoteHead> wantedHead_; ///< Seen, its catalog not read yet.
+    MonotonicTime wantedHeadAt_;
+    OwnershipMap ownership_;
+    int64_t ownershipVersion_ = 0;
+    std::map<std::string, FenceSeen> fences_; ///< By incarnation.
+    MonotonicTime nextPoll_;
+    MonotonicTime pollSentAt_;
+    std::optional<MonotonicTime> lastPollDone_;
+    bool polling_ = false;
+    bool readingCatalog_ = false;
+    bool changingOwnership_ = false;
+    MonotonicTime nextChange_;
+    std::map<int, std::string> moves_; ///< Proposed heirs, by shard.
+    bool leaving_ = false;
+    std::optional<MonotonicTime> joinSentAt_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/wire/messages.thrift
@@ -0,0 +1,241 @@
+/** Messages between the processes of marjoramferry. One Envelope fills one frame. */
+namespace cpp marjoramferry.wire
+
+/** What a task asks of the worker it runs on. */
+struct Needs {
+    1: i32 cpus = 0,
+    2: i32 memoryMb = 0,
+    3: i32 accelerators = 0,
+}
+
+/** One task of a job. The payload is a JSON text that only the endpoint reads. */
+struct Task {
+    1: string taskId,
+    2: string payload,
+    3: bool idempotent = false,
+    4: i32 expectedMs = 0,
+    5: Needs needs,
+}
+
+/** A submitted job. The fingerprint tells two bodies with one id apart. */
+struct Job {
+    1: string jobId,
+    2: string tenant,
+    3: string serviceName,
+    4: i32 deadlineMs = 0,
+    5: list<Task> tasks,
+    6: i64 fingerprint = 0,
+}
+
+enum Ran {
+    NO = 0,
+    YES = 1,
+    UNKNOWN = 2,
+}
+
+/** What became of one task. The output is set for a complete job only. */
+struct TaskResult {
+    1: string taskId,
+    2: Ran ran = Ran.NO,
+    3: string output,
+}
+
+enum AnswerKind {
+    COMPLETE = 0,
+    FAILED = 1,
+    /** The receiver does not own the job any more; its new owner knows what ran. */
+    MOVED = 2,
+    /** A lookup found no such job. */
+    UNKNOWN_JOB = 3,
+    /** A lookup found the job unfinished. */
+    RUNNING = 4,
+    /** The receiver may not take the job now; nothing of it ran there. */
+    NOT_TAKEN = 5,
+}
+
+/** The answer to a job, or to a lookup of one. */
+struct JobAnswer {
+    1: string jobId,
+    2: AnswerKind kind = AnswerKind.FAILED,
+    3: i32 httpStatus = 200,
+    4: string errorKind,
+    5: string errorMessage,
+    6: i32 retryAfterMs = 0,
+    7: list<TaskResult> tasks,
+}
+
+/** Entry to owner: run this job, or join the run of the same job. */
+struct SubmitJob {
+    1: i64 requestId,
+    2: Job job,
+    /** Time left until the caller's deadline, in milliseconds. */
+    3: i32 remainingMs,
+}
+
+/** Entry to owner: report on a job, and cancel what has not started if asked. */
+struct LookupJob {
+    1: i64 requestId,
+    2: string jobId,
+    3: bool cancel = false,
+}
+
+/** Owner to entry: the answer to SubmitJob or LookupJob. */
+struct OwnerReply {
+    1: i64 requestId,
+    2: JobAnswer answer,
+}
+
+/** The epoch in which a shard is owned. */
+struct ShardEpoch {
+    1: i32 shard,
+    2: i64 epoch,
+}
+
+/** An owner of shards: one incarnation of one entry. */
+struct OwnerAddress {
+    1: string name,
+    2: string incarnation,
+    3: string address,
+}
+
+/** Agent to entry, at a fixed pace: who I am, what is free, and a request for evidence. */
+struct Heartbeat {
+    1: string agent,
+    2: string incarnation,
+    3: i64 registration,
+    4: string endpoint,
+    5: string serviceName,
+    6: string domain,
+    7: i32 slots,
+    8: i32 freeSlots,
+    /** The agent's monotonic clock at sending, in microseconds; echoed in the reply. */
+    9: i64 sentAtUs,
+    10: i64 noteVersion,
+    11: i64 ownershipVersion,
+    12: bool leaving = false,
+    13: Needs capacity,
+    /** How many starts came over this link before the heartbeat. */
+    14: i64 startsSeen,
+    /** The agent drains and runs nothing any more. */
+    15: bool finished = false,
+}
+
+/** Entry to agent: the evidence that a version was current at sentAtUs less ageUs. */
+struct HeartbeatReply {
+    1: i64 echoedSentAtUs,
+    2: i64 noteVersion,
+    3: i64 ageUs,
+    /** The catalog as JSON, set when the agent holds an older one. */
+    4: optional string catalog,
+    5: i64 registration,
+    6: i64 ownershipVersion,
+    /** Set when the agent knows an older ownership map. */
+    7: optional list<OwnerAddress> owners,
+    /** False when the entry itself holds no evidence. */
+    8: bool fresh,
+    /** Set with the owners: older epochs are refused from now on. */
+    9: optional list<ShardEpoch> epochs,
+}
+
+/** Owner to agent: start these tasks of one job, each at most once. */
+struct StartTasks {
+    1: string jobId,
+    2: list<Task> tasks,
+    3: string tenant,
+    4: string serviceName,
+    5: i32 shard,
+    6: i64 epoch,
+    /** Time left until the job's deadline, in milliseconds. */
+    7: i32 remainingMs,
+    /** The incarnation of the agent that the owner means. */
+    8: string incarnation,
+    /** Grows with every message of this kind that the owner sends. */
+    9: i64 sequence,
+}
+
+/**
+ * Owner to agent: tell the state of these tasks. Those not started are refused from now on,
+ * unless a StartTasks with a higher sequence asks for them.
+ */
+struct ResolveTasks {
+    1: string jobId,
+    2: list<string> taskIds,
+    3: i32 shard,
+    4: i64 epoch,
+    5: i64 sequence,
+}
+
+enum StartState {
+    /** Refused; this agent will not start the task under that epoch. */
+    REFUSED = 0,
+    RUNNING = 1,
+    SUCCEEDED = 2,
+    FAILED = 3,
+    /** Handed to the endpoint; whether it ran can't be told. */
+    UNCERTAIN = 4,
+}
+
+enum RefusalKind {
+    NONE = 0,
+    NO_SLOT = 1,
+    NOT_FRESH = 2,
+    WITHDRAWN = 3,
+    STALE_EPOCH = 4,
+    LEAVING = 5,
+    LATE = 6,
+    OTHER_INCARNATION = 7,
+    MEMORY_FULL = 8,
+}
+
+/** Agent to owner: the state of a start. */
+struct TaskReport {
+    1: string jobId,
+    2: string taskId,
+    3: StartState state,
+    4: RefusalKind refusal = RefusalKind.NONE,
+    5: string output,
+    6: i32 freeSlots,
+    7: string agent,
+    8: i32 runMs,
+    /** How many starts came over this link before the report. */
+    9: i64 startsSeen,
+    10: bool outputDropped,
+}
+
+/** Owner to agent: refuse older epochs of these shards, and tell what was started in them. */
+struct Fence {
+    1: i64 requestId,
+    2: list<ShardEpoch> epochs,
+}
+
+/** One start that an agent remembers. */
+struct StartRecord {
+    1: string jobId,
+    2: string taskId,
+    3: StartState state,
+    4: string output,
+    5: bool outputDropped,
+}
+
+/** Agent to owner: the answer to Fence; every record of the fenced shards. */
+struct StartRecords {
+    1: i64 requestId,
+    2: string agent,
+    3: string incarnation,
+    4: i64 registration,
+    5: list<StartRecord> records,
+}
+
+/** Exactly one field is set. */
+union Envelope {
+    1: SubmitJob submitJob,
+    2: LookupJob lookupJob,
+    3: OwnerReply ownerReply,
+    4: Heartbeat heartbeat,
+    5: HeartbeatReply heartbeatReply,
+    6: StartTasks startTasks,
+    7: TaskReport taskReport,
+    8: Fence fence,
+    9: StartRecords startRecords,
+    10: ResolveTasks resolveTasks,
+}
