Repeat an unresolved claim write unchanged

A renewal without claims was lost on its way; when it was written again, claims that had come meanwhile went with it under the same sequence. The first one then took effect late, the read-back found its sequence, and the claims counted as committed though they never were.

Ruled out: the read-back itself (it read what stood there) and the fence (its condition let one of the two through, as it should).

Change: a transaction is kept until it is resolved, and repeated as it was. The test stood red before (0 claims stored, counted as committed) and passes now.

--- a/request/claim_log.cpp
+++ b/request/claim_log.cpp
@@ -55,7 +55,7 @@
         return std::nullopt;
     }
     const bool renewalDue = now >= lastWrite_ + timing_.renewal;
-    if (waiting_.empty() && inFlight_.empty() && !renewalDue) {
+    if (!unresolved_ && waiting_.empty() && !renewalDue) {
         return std::nullopt;
     }
     state_ = State::Writing;
@@ -65,7 +65,10 @@
         // A repeated write counts from its first sending: that one may be the one that took effect.
         firstSentAt_ = now;
     }
-    return makeTransaction(now);
+    if (!unresolved_) {
+        unresolved_ = makeTransaction(now);
+    }
+    return *unresolved_;
 }
 
 void ClaimLog::earnCredit(MonotonicTime now)
@@ -77,11 +80,9 @@
 
 TableTransaction ClaimLog::makeTransaction(MonotonicTime now)
 {
-    if (inFlight_.empty()) {
-        const auto count = static_cast<std::ptrdiff_t>(std::min(waiting_.size(), MaxClaimsPerWrite));
-        inFlight_.assign(waiting_.begin(), waiting_.begin() + count);
-        waiting_.erase(waiting_.begin(), waiting_.begin() + count);
-    }
+    const auto count = static_cast<std::ptrdiff_t>(std::min(waiting_.size(), MaxClaimsPerWrite));
+    inFlight_.assign(waiting_.begin(), waiting_.begin() + count);
+    waiting_.erase(waiting_.begin(), waiting_.begin() + count);
     const int64_t next = sequence_ + 1;
     TableTransaction transaction;
     transaction.conditions.push_back(RowCondition{fenceKey(incarnation_), fenceVersion_});
@@ -134,7 +135,7 @@
     if (fence.value == absl::StrCat(sequence_ + 1)) {
         return commit(fence.version);
     }
-    // Not in force yet. Writing it again is safe: the condition lets only one of the two through.
+    // Not in force yet. Writing the very same again is safe: the condition lets only one of the two through.
     state_ = State::Idle;
     return std::monostate{};
 }
@@ -142,6 +143,7 @@
 ClaimOutcome ClaimLog::commit(int64_t version)
 {
     state_ = State::Idle;
+    unresolved_.reset();
     fenceVersion_ = version;
     ++sequence_;
     renewedAt_ = *std::exchange(firstSentAt_, std::nullopt);
--- a/request/claim_log.h
+++ b/request/claim_log.h
@@ -104,7 +104,8 @@
     int64_t fenceVersion_;
     int64_t sequence_ = 0; ///< Of the last transaction known to be committed.
     std::vector<Claim> waiting_;
-    std::vector<Claim> inFlight_;
+    std::vector<Claim> inFlight_; ///< The claims in unresolved_.
+    std::optional<TableTransaction> unresolved_; ///< Written, not known to be committed; repeated unchanged.
     MonotonicTime lastWrite_;
     double credit_; ///< Writes that may go out now; grows by one each pace, up to the burst.
     MonotonicTime creditAt_;
--- a/tests/request/claim_log_test.cpp
+++ b/tests/request/claim_log_test.cpp
@@ -78,6 +78,27 @@
     CHECK(storedClaims() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "Claims that come while a lost renewal is unresolved are not taken for written with it")
+{
+    now += Milliseconds(500);
+    const auto renewal = next();
+    REQUIRE(renewal);
+    log.onResult(Lost, now);
+    log.add(Claim{"a", 1, 0});
+    log.onResult(table.apply(*next()), now);
+    const auto second = next();
+    table.apply(*renewal);
+    log.onResult(table.apply(*second), now);
+    bool isCommitted = false;
+    for (int step = 0; step < 6; ++step) {
+        if (const auto request = next()) {
+            isCommitted |= std::holds_alternative<ClaimsCommitted>(log.onResult(table.apply(*request), now));
+        }
+    }
+    CHECK(isCommitted);
+    CHECK(storedClaims() == 1);
+}
+
 TEST_CASE_METHOD(Fixture, "A deposed owner's claims fail")
 {
     table.apply(TableTransaction{{}, {}, {ClaimLog::fenceKey(Incarnation)}});
