Let planned stops fail no job

An agent stopped right behind its last report, which was lost when the connection closed (6 of 6 agents, one job each). 2. A draining owner stayed among the owners, so its peers handed shards back to it while it handed them out. 3. A restarted entry got shards before the agents knew it and refused jobs for want of capacity. 4. A task that an heir had learned of as running ended before its job was brought to the heir; the report found no job and was dropped, and the job ran into its deadline with every task done. Also, a move that was proposed against an older ownership map was still carried out after the shard had begun to take jobs again.

Change: a drained agent waits until its owners have answered its last heartbeat; owners that leave are marked in the map and get nothing; agents are told at once of a changed set of owners, and shards go to an owner that has been known for a second; an heir asks for the state of running tasks when it takes a job in; proposed moves end with the map they were made for.

--- /dev/null
+++ b/benchmarks/memory_slopes.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# What remembered jobs and starts take in memory: one entry, one agent, empty tasks, growing counts.
+# Prints the resident memory of both after each step, and what the table service took in.
+# Usage: benchmarks/memory_slopes.sh [TASKS_PER_JOB] [JOBS_PER_STEP]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tasks=${1:-1}
+jobs=${2:-10000}
+build_dir=${BUILD:-$PWD/build/release}
+bench=$PWD/build/release/benchmarks/marjoramferry-bench
+work_dir=$(mktemp -d)
+source scripts/deployment.sh
+trap 'stop_all; rm -rf "$work_dir"' EXIT
+
+start_table
+start_entry 0 bogota
+start_agent 0 bogota "$(entry_link 0)"
+start_endpoint 0 orders 64
+wait_for 30 is_ready 0
+tool 0 note publish examples/guild/first-note.json >/dev/null
+wait_for 30 has_agents 0 1
+sleep 1
+resident() { awk '{printf "%.1f", $2 * 4096 / 1048576}' "/proc/${process_ids[$1]}/statm"; }
+echo "0 jobs: entry $(resident entry0) MB, agent $(resident agent0) MB"
+for step in 1 2 3 4; do
+    "$bench" --entries "$(entry_http 0)" --rate "$jobs" --seconds 1 --in-flight $((270 / tasks + 1)) --prefix "step$step" \
+        --tasks-min "$tasks" --tasks-max "$tasks" --run-max-ms 0 --long-share 0 --tenant talleres --service orders \
+        --out "$work_dir/step.json" >/dev/null
+    python3 - "$work_dir/step.json" "$step" "$tasks" "$(resident entry0)" "$(resident agent0)" \
+        "$(curl -fsS -d '{}' "http://$(table_address)/counts")" <<'PY'
+import json, sys
+r = json.load(open(sys.argv[1]))
+print(f"step {sys.argv[2]}: +{r['jobs']} jobs of {sys.argv[3]} {r['outcomes']}, {r['tasks_per_s']:.0f} starts/s: "
+      f"entry {sys.argv[4]} MB, agent {sys.argv[5]} MB, table {sys.argv[6]}")
+PY
+done
--- a/request/agent_core.cpp
+++ b/request/agent_core.cpp
@@ -57,14 +57,14 @@
         noteInfoChanged();
     }
     sendDueHeartbeats(now);
-    stopIfIdle(now);
+    stopIfFinished(now);
 }
 
 void AgentCore::onPeerMessage(const PeerMessage &event, MonotonicTime now)
 {
     std::visit(
         Overloaded{
-            [&](const wire::HeartbeatReply &each) { onHeartbeatReply(each, now); },
+            [&](const wire::HeartbeatReply &each) { onHeartbeatReply(event.address, each, now); },
             [&](const wire::StartTasks &each) { onStartTasks(event.address, each, now); },
             [&](const wire::ResolveTasks &each) { onResolveTasks(event.address, each, now); },
             [&](const wire::Fence &each) { onFence(event.address, each); },
@@ -75,8 +75,11 @@
         event.message);
 }
 
-void AgentCore::onHeartbeatReply(const wire::HeartbeatReply &reply, MonotonicTime now)
+void AgentCore::onHeartbeatReply(const std::string &from, const wire::HeartbeatReply &reply, MonotonicTime now)
 {
+    if (finishedAt_ && reply.echoedSentAtUs >= toMicroseconds(*finishedAt_)) {
+        peerStates_[from].knowsFinished = true;
+    }
     // Epochs first: a registered agent has seen those in force when it was registered.
     for (const wire::ShardEpoch &each : reply.epochs) {
         gate_.fence(each.shard, each.epoch);
@@ -252,7 +255,7 @@
         = result.state == wire::StartState::REFUSED ? wire::RefusalKind::LEAVING : wire::RefusalKind::NONE;
     report(reporters_[task.shard], result.key, state, refusal, now);
     tellFreedSlot(now);
-    stopIfIdle(now);
+    stopIfFinished(now);
 }
 
 void AgentCore::onDrain(MonotonicTime now)
@@ -387,13 +390,21 @@
     out_.emplace_back(SendToPeer{to, std::move(message)});
 }
 
-void AgentCore::stopIfIdle(MonotonicTime now)
+void AgentCore::stopIfFinished(MonotonicTime now)
 {
     if (!draining_ || !running_.empty()) {
         return;
     }
-    sendToAll(now);
-    out_.emplace_back(Stop{});
+    if (!finishedAt_) {
+        finishedAt_ = now;
+        sendToAll(now);
+    }
+    // Messages keep their order, so the answer to this heartbeat says that all before it arrived.
+    const bool allKnow
+        = std::ranges::all_of(owners_, [&](const std::string &owner) { return peerStates_[owner].knowsFinished; });
+    if (allKnow || now - *finishedAt_ >= timing_.farewell) {
+        out_.emplace_back(Stop{});
+    }
 }
 
 int AgentCore::freeSlots() const
--- a/request/agent_core.h
+++ b/request/agent_core.h
@@ -29,6 +29,7 @@
     Milliseconds presence{2000}; ///< Each owner hears of this agent at least so often.
     Milliseconds evidenceRefresh{600}; ///< When evidence is older than this, an entry is asked for more.
     Milliseconds evidenceRetry{200}; ///< Pause before the next entry is asked.
+    Milliseconds farewell{3000}; ///< How long a drained agent waits for its owners' word.
     Milliseconds freedPause{5}; ///< Least time between two words of a freed slot to one owner.
     Milliseconds freshness{2000}; ///< No start on evidence older than this.
     Milliseconds announceLapse{3000}; ///< An endpoint that has not announced itself for so long is gone.
@@ -134,7 +135,7 @@
 
     void onTick(MonotonicTime now);
     void onPeerMessage(const PeerMessage &event, MonotonicTime now);
-    void onHeartbeatReply(const wire::HeartbeatReply &reply, MonotonicTime now);
+    void onHeartbeatReply(const std::string &from, const wire::HeartbeatReply &reply, MonotonicTime now);
     void onStartTasks(const std::string &from, const wire::StartTasks &message, MonotonicTime now);
     void onResolveTasks(const std::string &from, const wire::ResolveTasks &message, MonotonicTime now);
     void onFence(const std::string &from, const wire::Fence &message);
@@ -150,6 +151,7 @@
         int64_t startsSeen = 0;
         int64_t infoSent = 0; ///< The info's version.
         int freeSlotsSent = 0;
+        bool knowsFinished = false; ///< It has had all reports, and will send no more starts.
         std::optional<MonotonicTime> lastSentAt;
     };
 
@@ -166,7 +168,7 @@
                 const StartKnown &state,
                 wire::RefusalKind::type refusal,
                 MonotonicTime now);
-    void stopIfIdle(MonotonicTime now);
+    void stopIfFinished(MonotonicTime now);
     std::vector<std::string> peers(MonotonicTime now) const;
     int freeSlots() const;
     bool isLeaving() const;
@@ -188,6 +190,7 @@
     std::optional<MonotonicTime> askedAt_; ///< When evidence was last asked for out of turn.
     size_t nextAsked_ = 0;
     bool draining_ = false;
+    std::optional<MonotonicTime> finishedAt_; ///< When the last task of a draining agent was reported.
     std::vector<AgentCommand> out_;
 };
 
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -98,7 +98,7 @@
     }
     registrar_.advance(time.now, out_);
     answerInForce(time.now);
-    handOverShards();
+    handOverShards(time.now);
     leaveWhenDrained();
 }
 
@@ -110,7 +110,7 @@
     if (hasNews) {
         seenOwnership_ = keeper_.ownershipVersion();
         seenFence_ = keeper_.ownFenceVersion();
-        owner_.onOwnership(time.now, out_);
+        onOwnershipNews(time.now);
     }
     deliverLocal(router_.sendNew(keeper_.ownership(), keeper_.self().incarnation, time.now, out_), time.now);
     for (KeeperRequest &request : keeper_.dueRequests(time.now, time.wallMs)) {
@@ -393,6 +393,7 @@
 {
     wire::HeartbeatReply message;
     message.noteVersion = keeper_.catalog().version;
+    message.echoedSentAtUs = heartbeat.sentAtUs;
     if (const auto evidence = evidenceFor(agent, keeper_, now)) {
         message.__set_evidence(*evidence);
     }
@@ -407,27 +408,65 @@
         message.registration = registration->version;
     }
     if (isGranted || heartbeat.ownershipVersion < keeper_.ownershipVersion()) {
-        std::vector<wire::OwnerAddress> owners;
-        for (const auto &[incarnation, owner] : keeper_.ownership().owners()) {
-            wire::OwnerAddress address;
-            address.name = owner.name;
-            address.incarnation = incarnation;
-            address.address = owner.address;
-            owners.push_back(std::move(address));
-        }
-        std::vector<wire::ShardEpoch> epochs;
-        for (int index = 0; index < ShardCount; ++index) {
-            wire::ShardEpoch epoch;
-            epoch.shard = index;
-            epoch.epoch = keeper_.ownership().shard(index).epoch;
-            epochs.push_back(epoch);
-        }
-        message.__set_owners(owners);
-        message.__set_epochs(epochs);
+        fillOwnership(message);
     }
     out_.add(SendToLink{agent.link, std::move(message)});
 }
 
+void EntryCore::fillOwnership(wire::HeartbeatReply &message) const
+{
+    std::vector<wire::OwnerAddress> owners;
+    for (const auto &[incarnation, owner] : keeper_.ownership().owners()) {
+        wire::OwnerAddress address;
+        address.name = owner.name;
+        address.incarnation = incarnation;
+        address.address = owner.address;
+        owners.push_back(std::move(address));
+    }
+    std::vector<wire::ShardEpoch> epochs;
+    for (int index = 0; index < ShardCount; ++index) {
+        wire::ShardEpoch epoch;
+        epoch.shard = index;
+        epoch.epoch = keeper_.ownership().shard(index).epoch;
+        epochs.push_back(epoch);
+    }
+    message.__set_owners(owners);
+    message.__set_epochs(epochs);
+}
+
+void EntryCore::onOwnershipNews(MonotonicTime now)
+{
+    owner_.onOwnership(now, out_);
+    std::map<std::string, MonotonicTime> since;
+    for (const std::string &incarnation : keeper_.ownership().owners() | std::views::keys) {
+        const auto known = ownersSince_.find(incarnation);
+        since[incarnation] = known == ownersSince_.end() ? now : known->second;
+    }
+    const bool isSameSet = std::ranges::equal(since | std::views::keys, ownersSince_ | std::views::keys);
+    ownersSince_ = std::move(since);
+    if (!isSameSet) {
+        tellAgentsOfOwners();
+    }
+}
+
+void EntryCore::tellAgentsOfOwners()
+{
+    // A new owner is of use only when agents know it, so they are not left to ask.
+    wire::HeartbeatReply message;
+    message.ownershipVersion = keeper_.ownershipVersion();
+    message.noteVersion = keeper_.catalog().version;
+    fillOwnership(message);
+    for (const AgentView &agent : directory_.all() | std::views::values) {
+        out_.add(SendToLink{agent.link, message});
+    }
+}
+
+bool EntryCore::isSettled(const std::string &owner, MonotonicTime now) const
+{
+    const auto since = ownersSince_.find(owner);
+    return since != ownersSince_.end() && now - since->second >= options_.settling;
+}
+
 // --- The table service ------------------------------------------------------------------------
 
 void EntryCore::onTableDone(const TableDone &event, MonotonicTime now)
@@ -465,26 +504,22 @@
 
 // --- Hand-over --------------------------------------------------------------------------------
 
-void EntryCore::handOverShards()
+void EntryCore::handOverShards(MonotonicTime now)
 {
     const std::string &self = keeper_.self().incarnation;
-    std::vector<std::string> heirs;
-    for (const std::string &incarnation : keeper_.ownership().owners() | std::views::keys) {
-        if (incarnation != self) {
-            heirs.push_back(incarnation);
-        }
-    }
+    const std::vector<std::string> heirs = keeper_.ownership().heirsOf(self);
     handOver_.clear();
     if (draining_) {
+        keeper_.proposeLeaving();
         size_t turn = 0;
         for (const int shard : keeper_.ownership().shardsOf(self)) {
             handOver_[shard] = heirs.empty() ? std::string() : heirs[turn++ % heirs.size()];
         }
-    } else if (!heirs.empty()) {
+    } else {
         for (const std::string &heir : heirs) {
-            for (const int shard : keeper_.ownership().surplusFor(self, heir)) {
-                handOver_.try_emplace(shard, heir);
-            }
+            const std::vector<int> surplus
+                = isSettled(heir, now) ? keeper_.ownership().surplusFor(self, heir) : std::vector<int>();
+            std::ranges::for_each(surplus, [&](int shard) { handOver_.try_emplace(shard, heir); });
         }
     }
     std::vector<int> shards;
@@ -505,7 +540,7 @@
     }
     const std::string &self = keeper_.self().incarnation;
     const bool isOwner = keeper_.ownership().owners().contains(self);
-    const bool hasPeers = keeper_.ownership().owners().size() > 1;
+    const bool hasPeers = !keeper_.ownership().heirsOf(self).empty();
     const bool hasShards = !keeper_.ownership().shardsOf(self).empty();
     if (isOwner && owner_.activeJobs() == 0 && (!hasShards || !hasPeers)) {
         keeper_.proposeLeave();
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -30,6 +30,7 @@
     DirectoryTiming directory;
     JobBounds bounds;
     size_t maxWaitingRequests = 2000;
+    Milliseconds settling{1000}; ///< A new owner gets shards handed over when it has had time to meet the agents.
     Milliseconds inForceMargin{100}; ///< Added to the freshness bound before a change is called in force.
     std::string placement = "least-loaded";
     uint64_t seed = 1;
@@ -109,7 +110,11 @@
     void publish(const HttpRequest &request, ReleaseNote note, bool isDomainChange, MonotonicTime now);
     void answerPublications();
     void answerInForce(MonotonicTime now);
-    void handOverShards();
+    void onOwnershipNews(MonotonicTime now);
+    void tellAgentsOfOwners();
+    void fillOwnership(wire::HeartbeatReply &message) const;
+    void handOverShards(MonotonicTime now);
+    bool isSettled(const std::string &owner, MonotonicTime now) const;
     void leaveWhenDrained();
     void afterEvent(EventTime time);
     void deliverLocal(std::vector<LocalRequest> requests, MonotonicTime now);
@@ -129,6 +134,7 @@
     JobOwner owner_;
     JobRouter router_;
     std::map<int, std::string> handOver_; ///< Heirs of the shards that refuse new jobs.
+    std::map<std::string, MonotonicTime> ownersSince_; ///< When this entry first saw each owner.
     std::vector<InForceWait> inForceWaits_;
     int64_t seenOwnership_ = 0;
     int64_t seenFence_ = 0;
--- a/request/job_owner.cpp
+++ b/request/job_owner.cpp
@@ -412,6 +412,7 @@
         fail(run, "owner_lost", "the job's owner was lost and not all of it can be accounted for", now, out);
         return;
     }
+    resolveIn(*run, TaskPhase::Running, now, out);
     claim(*run, false);
 }
 
@@ -617,12 +618,18 @@
     out.add(SendToLink{agent.link, std::move(message)});
 }
 
-void JobOwner::resolveSent(const JobRun &run, EntryOutbox &out)
+void JobOwner::resolveIn(const JobRun &run, TaskPhase phase, MonotonicTime now, EntryOutbox &out)
 {
     std::map<std::string, std::vector<std::string>> byAgent;
     for (size_t index = 0; index < run.tasks.size(); ++index) {
-        if (run.tasks[index].phase == TaskPhase::Sent) {
-            byAgent[run.tasks[index].agent].push_back(run.job.tasks[index].taskId);
+        const TaskRun &task = run.tasks[index];
+        if (task.phase != phase) {
+            continue;
+        }
+        byAgent[task.agent].push_back(run.job.tasks[index].taskId);
+        if (directory_.find(task.agent) == nullptr) {
+            // It is asked when it comes back, or given up.
+            lost_.try_emplace(task.agent, LostAgent{task.incarnation, now});
         }
     }
     for (auto &[name, taskIds] : byAgent) {
@@ -696,7 +703,7 @@
     run->answer.errorKind = kind;
     run->answer.errorMessage = message;
     run->answer.retryAfterMs = FailedRetryAfterMs;
-    resolveSent(*run, out);
+    resolveIn(*run, TaskPhase::Sent, now, out);
     advanceEnding(run, now, out);
 }
 
--- a/request/job_owner.h
+++ b/request/job_owner.h
@@ -140,7 +140,8 @@
     noteTaskEnd(const JobRunPtr &run, int index, const wire::TaskReport &report, MonotonicTime now, EntryOutbox &out);
     void noteRefused(const JobRunPtr &run, int index);
     void giveUpAgent(const std::string &agent, const std::string &incarnation, MonotonicTime now, EntryOutbox &out);
-    void resolveSent(const JobRun &run, EntryOutbox &out);
+    /** Asks the agents for the state of the job's tasks that are in this phase. */
+    void resolveIn(const JobRun &run, TaskPhase phase, MonotonicTime now, EntryOutbox &out);
     void askAgent(const AgentView &agent, const JobRun &run, std::vector<std::string> taskIds, EntryOutbox &out) const;
 
     void complete(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out);
--- a/version/ownership_map.cpp
+++ b/version/ownership_map.cpp
@@ -44,6 +44,26 @@
     return next;
 }
 
+OwnershipMap OwnershipMap::withLeaving(const std::string &incarnation) const
+{
+    OwnershipMap next = *this;
+    if (const auto found = next.owners_.find(incarnation); found != next.owners_.end()) {
+        found->second.leaving = true;
+    }
+    return next;
+}
+
+std::vector<std::string> OwnershipMap::heirsOf(const std::string &from) const
+{
+    std::vector<std::string> heirs;
+    for (const auto &[incarnation, owner] : owners_) {
+        if (incarnation != from && !owner.leaving) {
+            heirs.push_back(incarnation);
+        }
+    }
+    return heirs;
+}
+
 OwnershipMap OwnershipMap::withoutOwner(const std::string &gone, const std::string &heir, int64_t nowMs) const
 {
     OwnershipMap next = *this;
@@ -74,10 +94,13 @@
 
 std::vector<int> OwnershipMap::surplusFor(const std::string &from, const std::string &to) const
 {
-    if (owners_.empty()) {
+    const auto heir = owners_.find(to);
+    if (heir == owners_.end() || heir->second.leaving) {
         return {};
     }
-    const auto share = static_cast<size_t>(ShardCount) / owners_.size();
+    const auto staying
+        = std::ranges::count_if(owners_ | std::views::values, [](const Owner &owner) { return !owner.leaving; });
+    const auto share = static_cast<size_t>(ShardCount) / static_cast<size_t>(staying);
     std::vector<int> held = shardsOf(from);
     const size_t wanted = share - std::min(share, shardsOf(to).size());
     const size_t spare = held.size() - std::min(held.size(), share);
@@ -89,7 +112,7 @@
 {
     json result = {{"owners", json::object()}, {"shards", json::array()}};
     for (const auto &[incarnation, owner] : owners_) {
-        result["owners"][incarnation] = {{"name", owner.name}, {"address", owner.address}};
+        result["owners"][incarnation] = {{"name", owner.name}, {"address", owner.address}, {"leaving", owner.leaving}};
     }
     for (const ShardOwnership &shard : shards_) {
         json predecessors = json::array();
@@ -107,8 +130,9 @@
     try {
         OwnershipMap result;
         for (const auto &[incarnation, owner] : parsed.at("owners").items()) {
-            result.owners_[incarnation]
-                = Owner{owner.at("name").get<std::string>(), owner.at("address").get<std::string>()};
+            result.owners_[incarnation] = Owner{owner.at("name").get<std::string>(),
+                                                owner.at("address").get<std::string>(),
+                                                owner.at("leaving").get<bool>()};
         }
         const json &shards = parsed.at("shards");
         if (shards.size() != static_cast<size_t>(ShardCount)) {
--- a/version/ownership_map.h
+++ b/version/ownership_map.h
@@ -15,6 +15,7 @@
 {
     std::string name;
     std::string address; ///< host:port of its Thrift listener.
+    bool leaving = false; ///< It drains; nothing is handed to it any more.
 
     auto operator<=>(const Owner &) const = default;
 };
@@ -58,6 +59,12 @@
     /** With @p incarnation among the owners; it gets the shards that nobody owns. */
     OwnershipMap withOwner(const std::string &incarnation, const Owner &owner, int64_t nowMs) const;
 
+    /** With an owner marked as leaving. */
+    OwnershipMap withLeaving(const std::string &incarnation) const;
+
+    /** The owners that shards may be handed to, other than @p from. */
+    std::vector<std::string> heirsOf(const std::string &from) const;
+
     /** Without @p gone; all its shards go to @p heir, or to nobody when that is empty. */
     OwnershipMap withoutOwner(const std::string &gone, const std::string &heir, int64_t nowMs) const;
 
@@ -67,7 +74,7 @@
     /** Without the predecessors that ended before @p beforeMs. */
     OwnershipMap withPredecessorsPruned(int64_t beforeMs) const;
 
-    /** The shards that @p from should hand to @p to so that both come nearer to an even share. */
+    /** The shards that @p from should hand to @p to so that both come nearer to an even share; none if that leaves. */
     std::vector<int> surplusFor(const std::string &from, const std::string &to) const;
 
     std::string toJson() const;
--- a/version/version_keeper.cpp
+++ b/version/version_keeper.cpp
@@ -148,7 +148,8 @@
     }
     ownership_ = OwnershipMap::fromJson(row.value);
     ownershipVersion_ = row.version;
-    std::erase_if(moves_, [&](const auto &move) { return ownership_.shard(move.first).owner != self_.incarnation; });
+    // Moves were proposed against the map before; the owner takes new jobs in those shards again.
+    moves_.clear();
 }
 
 void VersionKeeper::noteFences(const std::map<std::string, int64_t> &fences, MonotonicTime now)
@@ -176,6 +177,11 @@
     }
 }
 
+void VersionKeeper::proposeLeaving()
+{
+    drains_ = true;
+}
+
 void VersionKeeper::proposeLeave()
 {
     leaving_ = true;
@@ -183,7 +189,11 @@
 
 std::optional<TableTransaction> VersionKeeper::ownershipChange(MonotonicTime now, int64_t wallMs)
 {
-    const bool isOwner = ownership_.owners().contains(self_.incarnation);
+    const auto self = ownership_.owners().find(self_.incarnation);
+    const bool isOwner = self != ownership_.owners().end();
+    if (drains_ && isOwner && !self->second.leaving) {
+        return transactionFor(ownership_.withLeaving(self_.incarnation));
+    }
     if (!moves_.empty() && isOwner) {
         OwnershipMap next = ownership_;
         for (const auto &[shard, heir] : moves_) {
@@ -202,6 +212,9 @@
         transaction.deletes.push_back(fenceKey(self_.incarnation));
         return transaction;
     }
+    if (drains_ && !isOwner) {
+        return std::nullopt;
+    }
     return joinOrTakeOver(now, wallMs);
 }
 
--- a/version/version_keeper.h
+++ b/version/version_keeper.h
@@ -81,6 +81,9 @@
     /** Proposes that @p index goes to @p heir. It takes effect if a later poll shows it. */
     void proposeMoves(const std::vector<int> &shards, const std::string &heir);
 
+    /** Proposes to be marked as leaving, so that nothing is handed to this owner any more. */
+    void proposeLeaving();
+
     /** Proposes to leave: the shards left go to nobody, and the fence row is removed. */
     void proposeLeave();
 
@@ -166,7 +169,8 @@
     bool changingOwnership_ = false;
     MonotonicTime nextChange_;
     std::map<int, std::string> moves_; ///< Proposed heirs, by shard.
-    bool leaving_ = false;
+    bool drains_ = false; ///< Wants to be marked as leaving.
+    bool leaving_ = false; ///< Wants to be no owner any more.
     std::optional<MonotonicTime> joinSentAt_;
 };
 
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -151,6 +151,8 @@
     6: optional list<OwnerAddress> owners,
     /** Set with the owners: older epochs are refused from now on. */
     7: optional list<ShardEpoch> epochs,
+    /** From the heartbeat that this answers. */
+    8: i64 echoedSentAtUs,
 }
 
 /** Owner to agent: start these tasks of one job, each at most once. */
