--- /dev/null
+++ b/benchmarks/domain_change.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Work done while a failure domain leaves and returns, against what the slots left can do. The load
+# keeps all slots busy; a domain with 32 of 88 slots is out from second 6 to second 16.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build_dir=${BUILD:-$PWD/build/release}
+bench=$PWD/build/release/benchmarks/marjoramferry-bench
+work_dir=$(mktemp -d)
+source scripts/deployment.sh
+trap 'stop_all; rm -rf "$work_dir"' EXIT
+
+runners=11
+domains=(bogota medellin cali)
+start_table
+for index in 0 1 2; do start_entry "$index" "${domains[$index]}"; done
+for ((index = 0; index < runners; index++)); do
+    start_agent "$index" "${domains[$((index % 3))]}" "$(entry_link 0), $(entry_link 1), $(entry_link 2)"
+    start_endpoint "$index" orders 8
+done
+for index in 0 1 2; do wait_for 30 is_ready "$index"; done
+tool 0 note publish examples/guild/first-note.json >/dev/null
+for index in 0 1 2; do wait_for 30 has_agents "$index" "$runners"; done
+sleep 1
+"$bench" --entries "$(entry_http 0),$(entry_http 1),$(entry_http 2)" --rate 110 --seconds 20 --in-flight 60 \
+    --tasks-min 4 --tasks-max 4 --run-min-ms 200 --run-max-ms 200 --long-share 0 --tenant talleres --service orders \
+    --out "$work_dir/domain.json" >/dev/null &
+load_id=$!
+sleep 6
+tool 0 domain out bogota >/dev/null
+sleep 8
+tool 1 domain in bogota >/dev/null
+wait "$load_id"
+python3 - "$work_dir/domain.json" <<'PY'
+import json, sys
+r = json.load(open(sys.argv[1]))
+done = r["done_by_second"]
+rate = lambda a, b: sum(done[a:b]) / (b - a)
+all_slots, fewer = 88 / 0.2, 56 / 0.2
+print("tasks done by second:", done)
+print(f"outcomes {r['outcomes']}; possible {all_slots:.0f}/s with 88 slots, {fewer:.0f}/s with 56")
+print(f"before: {rate(2, 6) / all_slots:.3f} of the possible; while out (seconds 9 to 14): {rate(9, 14) / fewer:.3f}; "
+      f"leaving (seconds 6 to 8): {rate(6, 9) / fewer:.3f}; after (seconds 17 to 20): {rate(17, 20) / all_slots:.3f}")
+PY
--- a/request/entry_core.cpp
+++ b/request/entry_core.cpp
@@ -550,7 +550,7 @@
     }
 }
 
-void EntryCore::deliverLocal(std::vector<LocalRequest> requests, MonotonicTime now)
+void EntryCore::deliverLocal(const std::vector<LocalRequest> &requests, MonotonicTime now)
 {
     for (const LocalRequest &request : requests) {
         onLinkMessage(LinkMessage{LocalLink, request.message}, now);
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -117,7 +117,7 @@
     bool isSettled(const std::string &owner, MonotonicTime now) const;
     void leaveWhenDrained();
     void afterEvent(EventTime time);
-    void deliverLocal(std::vector<LocalRequest> requests, MonotonicTime now);
+    void deliverLocal(const std::vector<LocalRequest> &requests, MonotonicTime now);
     void deliverReplies(MonotonicTime now);
     void rejoinAfterDeposition();
     void reply(uint64_t token, int status, const std::string &body, int retryAfterMs = 0);
--- a/request/job_owner.cpp
+++ b/request/job_owner.cpp
@@ -81,7 +81,7 @@
     : timing_(timing)
     , keeper_(keeper)
     , directory_(directory)
-    , dispatcher_(keeper, directory, std::move(placement), *this)
+    , dispatcher_(keeper, directory, placement, *this)
 {
 }
 
