--- a/request/job_owner.cpp
+++ b/request/job_owner.cpp
@@ -31,43 +31,11 @@
     }
 }
 
-bool occupiesSlot(const TaskRun &task)
-{
-    return task.phase == TaskPhase::Sent || task.phase == TaskPhase::Running;
-}
-
 bool nothingStarted(const JobRun &run)
 {
     return std::ranges::all_of(run.tasks, [](const TaskRun &task) { return task.phase == TaskPhase::Waiting; });
 }
 
-/** What an answer takes in memory, near enough to bound it. */
-size_t bytesOf(const wire::JobAnswer &answer)
-{
-    size_t bytes = 0;
-    for (const wire::TaskResult &task : answer.tasks) {
-        bytes += sizeof(wire::TaskResult) + task.taskId.size() + task.output.size();
-    }
-    return bytes;
-}
-
-/** The answer to a complete job whose outputs are gone; the body that was submitted again names the tasks. */
-wire::JobAnswer droppedAnswer(const wire::Job &job)
-{
-    wire::JobAnswer answer;
-    answer.jobId = job.jobId;
-    answer.httpStatus = StatusOk;
-    answer.errorKind = "output_dropped";
-    answer.errorMessage = "every task ran, but outputs are no longer held; don't submit the work again";
-    std::ranges::transform(job.tasks, std::back_inserter(answer.tasks), [](const wire::Task &task) {
-        wire::TaskResult result;
-        result.taskId = task.taskId;
-        result.ran = wire::Ran::YES;
-        return result;
-    });
-    return answer;
-}
-
 void makeUnknown(wire::JobAnswer &answer)
 {
     for (wire::TaskResult &task : answer.tasks) {
@@ -81,6 +49,7 @@
     : timing_(timing)
     , keeper_(keeper)
     , directory_(directory)
+    , answers_(timing.answersKept, timing.maxAnswerBytes)
     , dispatcher_(keeper, directory, placement, *this)
 {
 }
@@ -198,7 +167,7 @@
             dispatcher_.withdraw(*run);
         }
         std::ranges::for_each(run->tasks, [&](const TaskRun &task) {
-            if (occupiesSlot(task)) {
+            if (task.occupiesSlot()) {
                 dispatcher_.noteFinished(*run);
             }
         });
@@ -210,12 +179,7 @@
         jobs_.erase(run->job.jobId);
     }
     // Else an old run would be forgotten later under the id of a newer one.
-    const auto isDropped = [&](const JobRunPtr &run) { return run->shard == shard; };
-    for (const JobRunPtr &run : ended_ | std::views::filter(isDropped)) {
-        answerBytes_ -= std::min(answerBytes_, bytesOf(run->answer));
-    }
-    std::erase_if(ended_, isDropped);
-    std::erase_if(whole_, isDropped);
+    answers_.removeShard(shard);
 }
 
 void JobOwner::dropAllShards(EntryOutbox &out)
@@ -524,7 +488,7 @@
         return;
     }
     TaskRun &task = run->tasks[static_cast<size_t>(index)];
-    if (!occupiesSlot(task) || task.agent != report.agent) {
+    if (!task.occupiesSlot() || task.agent != report.agent) {
         return;
     }
     if (report.state == wire::StartState::RUNNING) {
@@ -594,7 +558,7 @@
     for (const JobRunPtr &run : jobs_ | std::views::values) {
         std::vector<std::string> taskIds;
         for (size_t index = 0; index < run->tasks.size(); ++index) {
-            if (occupiesSlot(run->tasks[index]) && run->tasks[index].agent == agent.name) {
+            if (run->tasks[index].occupiesSlot() && run->tasks[index].agent == agent.name) {
                 taskIds.push_back(run->job.tasks[index].taskId);
             }
         }
@@ -648,7 +612,7 @@
     for (const JobRunPtr &run : jobs_ | std::views::values) {
         bool isHit = false;
         for (TaskRun &task : run->tasks) {
-            if (occupiesSlot(task) && task.agent == agent && task.incarnation == incarnation) {
+            if (task.occupiesSlot() && task.agent == agent && task.incarnation == incarnation) {
                 task.phase = TaskPhase::Uncertain;
                 dispatcher_.noteFinished(*run);
                 isHit = true;
@@ -674,6 +638,7 @@
     if (std::ranges::any_of(run->tasks, &TaskRun::outputDropped)) {
         run->answer = droppedAnswer(run->job);
         finish(run, now, out);
+        answers_.add(run);
         return;
     }
     run->answer = wire::JobAnswer();
@@ -688,6 +653,7 @@
         run->answer.tasks.push_back(std::move(result));
     }
     finish(run, now, out);
+    answers_.add(run);
 }
 
 void JobOwner::fail(
@@ -744,8 +710,9 @@
     finish(run, now, out);
     if (isRefusal) {
         // Nothing ran, so the caller may bring the same job again.
-        std::erase(ended_, run);
         jobs_.erase(run->job.jobId);
+    } else {
+        answers_.add(run);
     }
 }
 
@@ -754,11 +721,6 @@
     run->phase = JobPhase::Ended;
     run->endedAt = now;
     active_.erase(run->job.jobId);
-    ended_.push_back(run);
-    if (run->answer.kind == wire::AnswerKind::COMPLETE) {
-        whole_.push_back(run);
-    }
-    answerBytes_ += bytesOf(run->answer);
     for (const Waiter &waiter : run->waiters) {
         reply(waiter, run->answer);
     }
@@ -769,20 +731,6 @@
              {"tasks", absl::StrCat(run->tasks.size())},
              {"error", run->answer.errorKind},
              {"ms", absl::StrCat(millisecondsBetween(run->submittedAt, now))}});
-    releaseMemory(*run);
-}
-
-void JobOwner::releaseMemory(JobRun &run)
-{
-    // An empty braced list would keep the capacity.
-    run.waiters = std::vector<Waiter>();
-    if (std::ranges::any_of(run.tasks, occupiesSlot)) {
-        // Their ends are still to be counted.
-        std::ranges::for_each(run.job.tasks, [](wire::Task &task) { task.payload = std::string(); });
-        return;
-    }
-    run.tasks = std::vector<TaskRun>();
-    run.job.tasks = std::vector<wire::Task>();
 }
 
 void JobOwner::failOverdue(MonotonicTime now, EntryOutbox &out)
@@ -805,24 +753,6 @@
     }
 }
 
-void JobOwner::forgetOld(MonotonicTime now)
-{
-    while (!ended_.empty() && ended_.front()->endedAt + timing_.answersKept < now) {
-        const JobRunPtr run = ended_.front();
-        ended_.pop_front();
-        answerBytes_ -= std::min(answerBytes_, bytesOf(run->answer));
-        std::erase(whole_, run);
-        jobs_.erase(run->job.jobId);
-    }
-    while (answerBytes_ > timing_.maxAnswerBytes && !whole_.empty()) {
-        const JobRunPtr run = whole_.front();
-        whole_.pop_front();
-        answerBytes_ -= std::min(answerBytes_, bytesOf(run->answer));
-        run->answer = wire::JobAnswer();
-        run->answerDropped = true;
-    }
-}
-
 // --- Time and the table service ---------------------------------------------------------------
 
 void JobOwner::onStartRecords(const wire::StartRecords &records)
@@ -866,7 +796,7 @@
         giveUpAgent(name, lost.incarnation, now, out);
     }
     failOverdue(now, out);
-    forgetOld(now);
+    std::ranges::for_each(answers_.expire(now), [&](const std::string &jobId) { jobs_.erase(jobId); });
     finishRecoveries(now, out);
 }
 
--- a/request/job_owner.h
+++ b/request/job_owner.h
@@ -2,6 +2,7 @@
 
 #include "request/admission.h"
 #include "request/agent_directory.h"
+#include "request/answer_memory.h"
 #include "request/claim_log.h"
 #include "request/dispatcher.h"
 #include "request/entry_command.h"
@@ -12,7 +13,6 @@
 
 #include <absl/container/btree_map.h>
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -149,15 +149,14 @@
     void advanceEnding(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out);
     void finishFailed(const JobRunPtr &run, bool recorded, MonotonicTime now, EntryOutbox &out);
     void finish(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out);
-    static void releaseMemory(JobRun &run);
     void failOverdue(MonotonicTime now, EntryOutbox &out);
-    void forgetOld(MonotonicTime now);
     void reply(const Waiter &waiter, const wire::JobAnswer &answer);
     void replyKind(const Waiter &waiter, const std::string &jobId, wire::AnswerKind::type kind);
 
     const OwnerTiming timing_;
     const VersionKeeper &keeper_;
     AgentDirectory &directory_;
+    AnswerMemory answers_;
     Dispatcher dispatcher_;
     RunTimeModel runTimes_;
     std::optional<ClaimLog> claims_;
@@ -170,9 +169,6 @@
     std::vector<HeldRequest> held_; ///< For shards that recover.
     absl::btree_map<std::string, JobRunPtr> jobs_;
     std::map<std::string, JobRunPtr> active_; ///< Not ended.
-    std::deque<JobRunPtr> ended_; ///< By time of ending.
-    std::deque<JobRunPtr> whole_; ///< Those of them whose outputs are held.
-    size_t answerBytes_ = 0;
     std::map<std::string, LostAgent> lost_;
     bool deposed_ = false;
     std::vector<OwnerMessage> replies_;
--- a/request/job_run.h
+++ b/request/job_run.h
@@ -32,6 +32,11 @@
     MonotonicTime sentAt;
     std::string output;
     bool outputDropped = false;
+
+    bool occupiesSlot() const
+    {
+        return phase == TaskPhase::Sent || phase == TaskPhase::Running;
+    }
 };
 
 enum class JobPhase {
