Fail when a test program has no case to run

Cause: run_catch.sh took a missing program's status for a number of cases and printed "0 cases passed"; seen when a sanitizer build had not finished.

Change: the list of cases must not be empty. Seen: a missing program ends with status 1 now.

--- a/scripts/run_catch.sh
+++ b/scripts/run_catch.sh
@@ -16,13 +16,8 @@
 }
 export -f run_case
 
-cases() {
-    local status=0
-    "$program" --list-test-names-only "$@" || status=$?
-    # Catch gives the number of cases as its status here.
-    [ "$status" -gt 0 ]
-}
-
-cases "$@" >"$output/cases"
+# Catch's status here is the number of cases, so it is the list that tells whether there are any.
+"$program" --list-test-names-only "$@" >"$output/cases" || true
+[ -s "$output/cases" ] || { echo "$program: no case to run" >&2; exit 1; }
 xargs -d '\n' -P "$(nproc)" -I{} bash -c 'run_case "$1"' _ {} <"$output/cases"
 echo "$(basename "$program"): $(wc -l <"$output/cases") cases passed"
