Add the object store to the stand-in and measure the added time at rest

Cause: the stand-in lacked the object store, and the benchmark's one job at a time measured the pace of claims (10 ms), not the added time.

Change: PUT, GET and DELETE of objects under the same faults; 20 jobs a second in place of a closed loop.

--- a/benchmarks/starts.sh
+++ b/benchmarks/starts.sh
@@ -34,7 +34,7 @@
       f"messages/start {r['messages_per_task']:.2f}, MB entry {d['entry']['resident_mb']:.0f} agent {d['agent']['resident_mb']:.0f}")
 PY
     if [ "$tasks" -eq 1 ]; then
-        "$bench" --entries "$(entry_http 0)" --rate 2000 --seconds 3 --in-flight 1 --tasks-min 1 --tasks-max 1 \
+        "$bench" --entries "$(entry_http 0)" --rate 20 --seconds 6 --tasks-min 1 --tasks-max 1 \
             --run-max-ms 0 --long-share 0 --tenant talleres --service orders --prefix single --out "$work_dir/one.json" >/dev/null
         python3 - "$work_dir/one.json" "$(endpoint_http 0)" <<'PY'
 import http.client, json, statistics, sys, time
@@ -47,7 +47,7 @@
     connection.getresponse().read()
     times.append((time.perf_counter() - begin) * 1000)
 one = json.load(open(sys.argv[1]))
-print(f"one at a time: median {one['median_ms']:.2f} ms through the system, {statistics.median(times):.2f} ms direct")
+print(f"20 jobs a second: median {one['median_ms']:.2f} ms through the system, {statistics.median(times):.2f} ms direct")
 PY
     fi
     stop_all
--- a/standins/table_standin.cpp
+++ b/standins/table_standin.cpp
@@ -12,9 +12,11 @@
 
 constexpr int StatusOk = 200;
 constexpr int StatusMalformed = 400;
+constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int StatusLost = 500;
 constexpr int StatusOutage = 503;
+constexpr std::string_view ObjectsPath = "/v1/objects/";
 constexpr int MaxLatencyMs = 60'000;
 
 TableTransaction parseTransaction(const json &body)
@@ -88,7 +90,7 @@
         if (faults_.outage) {
             return HttpReply{0, StatusOutage, "{}"};
         }
-        return answerTable(request);
+        return request.path.starts_with(ObjectsPath) ? answerObject(request) : answerTable(request);
     } catch (const Error &error) {
         return HttpReply{0, StatusMalformed, renderError(error)};
     } catch (const json::exception &error) {
@@ -96,6 +98,20 @@
     }
 }
 
+HttpReply TableStandin::answerObject(const HttpRequest &request)
+{
+    if (request.method == "PUT") {
+        objects_[request.path] = request.body;
+        return HttpReply{0, StatusOk, "{}"};
+    }
+    if (request.method == "DELETE") {
+        objects_.erase(request.path);
+        return HttpReply{0, StatusOk, "{}"};
+    }
+    const auto found = objects_.find(request.path);
+    return found == objects_.end() ? HttpReply{0, StatusNotFound, "{}"} : HttpReply{0, StatusOk, found->second};
+}
+
 HttpReply TableStandin::answerTable(const HttpRequest &request)
 {
     const json body = parseJson(request.body, "body");
--- a/standins/table_standin.h
+++ b/standins/table_standin.h
@@ -6,6 +6,7 @@
 
 #include <absl/synchronization/mutex.h>
 
+#include <map>
 #include <string>
 
 namespace marjoramferry {
@@ -18,7 +19,7 @@
     bool loseAnswers = false; ///< Transactions take effect and are answered 500.
 };
 
-/** The platform's table service, in memory, over HTTP. */
+/** The platform's table service and object store, in memory, over HTTP. */
 class TableStandin
 {
 public:
@@ -28,10 +29,12 @@
     bool onRequest(const HttpRequest &request);
     HttpReply answer(const HttpRequest &request);
     HttpReply answerTable(const HttpRequest &request);
+    HttpReply answerObject(const HttpRequest &request);
     void setFaults(const std::string &body);
 
     absl::Mutex mutex_;
     TableModel model_;
+    std::map<std::string, std::string> objects_; ///< By path.
     TableFaults faults_;
     int64_t reads_ = 0;
     int64_t transactions_ = 0;
