Bring deployments up, and answer for all tasks, in one place each

Cause: read over once more, the bring-up of a deployment stood in the process tests and in four benchmarks, and three answers each built the list "the same said of every task" for themselves.

Change: bring_up in scripts/deployment.sh serves the tests and benchmarks; uniformResults serves the refusal, the late answer and the answer whose outputs are gone. Behaviour and assertions are as before, but for one message of a failed bring-up that no longer names the entry.

Seen: decision, promise and io tests pass, the four tests with real processes pass, response and memory benchmarks run; format and linter are clean on the changed files. starts.sh and domain_change.sh were not run again.

--- a/benchmarks/domain_change.sh
+++ b/benchmarks/domain_change.sh
@@ -9,17 +9,7 @@
 source scripts/deployment.sh
 trap 'stop_all; rm -rf "$work_dir"' EXIT
 
-runners=11
-domains=(bogota medellin cali)
-start_table
-for index in 0 1 2; do start_entry "$index" "${domains[$index]}"; done
-for ((index = 0; index < runners; index++)); do
-    start_agent "$index" "${domains[$((index % 3))]}" "$(entry_link 0), $(entry_link 1), $(entry_link 2)"
-    start_endpoint "$index" orders 8
-done
-for index in 0 1 2; do wait_for 30 is_ready "$index"; done
-tool 0 note publish examples/guild/first-note.json >/dev/null
-for index in 0 1 2; do wait_for 30 has_agents "$index" "$runners"; done
+bring_up 3 11 8
 sleep 1
 "$bench" --entries "$(entry_http 0),$(entry_http 1),$(entry_http 2)" --rate 110 --seconds 20 --in-flight 60 \
     --tasks-min 4 --tasks-max 4 --run-min-ms 200 --run-max-ms 200 --long-share 0 --tenant talleres --service orders \
--- a/benchmarks/memory_slopes.sh
+++ b/benchmarks/memory_slopes.sh
@@ -12,13 +12,7 @@
 source scripts/deployment.sh
 trap 'stop_all; rm -rf "$work_dir"' EXIT
 
-start_table
-start_entry 0 bogota
-start_agent 0 bogota "$(entry_link 0)"
-start_endpoint 0 orders 64
-wait_for 30 is_ready 0
-tool 0 note publish examples/guild/first-note.json >/dev/null
-wait_for 30 has_agents 0 1
+bring_up 1 1 64
 sleep 1
 resident() { awk '{printf "%.1f", $2 * 4096 / 1048576}' "/proc/${process_ids[$1]}/statm"; }
 echo "0 jobs: entry $(resident entry0) MB, agent $(resident agent0) MB"
--- a/benchmarks/response.sh
+++ b/benchmarks/response.sh
@@ -16,27 +16,6 @@
 trap 'stop_all; rm -rf "$work_dir"' EXIT
 
 runners=11
-domains=(bogota medellin cali)
-
-bring_up() {
-    rm -f "$work_dir"/*
-    start_table
-    for index in 0 1 2; do
-        start_entry "$index" "${domains[$index]}" "
-[entry]
-placement = $1"
-    done
-    local links
-    links="$(entry_link 0), $(entry_link 1), $(entry_link 2)"
-    for ((index = 0; index < runners; index++)); do
-        start_agent "$index" "${domains[$((index % 3))]}" "$links"
-        start_endpoint "$index" orders 8
-    done
-    for index in 0 1 2; do wait_for 30 is_ready "$index"; done
-    tool 0 note publish examples/guild/first-note.json >/dev/null
-    for index in 0 1 2; do wait_for 30 has_agents "$index" "$runners"; done
-    sleep 1
-}
 
 watched() {
     for index in 0 1 2; do
@@ -49,7 +28,11 @@
 
 for placement in $placements; do
     for load in $loads; do
-        bring_up "$placement"
+        rm -f "$work_dir"/*
+        bring_up 3 "$runners" 8 "
+[entry]
+placement = $placement"
+        sleep 1
         report="$out/response-$placement-$load.json"
         # shellcheck disable=SC2046
         "$bench" --entries "$(entry_http 0),$(entry_http 1),$(entry_http 2)" --load "$load" --slots 88 \
--- a/benchmarks/starts.sh
+++ b/benchmarks/starts.sh
@@ -12,13 +12,7 @@
 trap 'stop_all; rm -rf "$work_dir"' EXIT
 
 for tasks in 1 30 270; do
-    start_table
-    start_entry 0 bogota
-    start_agent 0 bogota "$(entry_link 0)"
-    start_endpoint 0 orders 64
-    wait_for 30 is_ready 0
-    tool 0 note publish examples/guild/first-note.json >/dev/null
-    wait_for 30 has_agents 0 1
+    bring_up 1 1 64
     sleep 1
     "$bench" --entries "$(entry_http 0)" --rate $((4000 / tasks + 1)) --seconds "$seconds" --in-flight $((540 / tasks + 1)) \
         --tasks-min "$tasks" --tasks-max "$tasks" --run-max-ms 0 --long-share 0 --slots 64 --tenant talleres \
--- a/request/admission.cpp
+++ b/request/admission.cpp
@@ -28,6 +28,18 @@
     return limit / owners + (index < limit % owners ? 1 : 0);
 }
 
+std::vector<wire::TaskResult> uniformResults(const wire::Job &job, wire::Ran::type ran)
+{
+    std::vector<wire::TaskResult> results;
+    std::ranges::transform(job.tasks, std::back_inserter(results), [&](const wire::Task &task) {
+        wire::TaskResult result;
+        result.taskId = task.taskId;
+        result.ran = ran;
+        return result;
+    });
+    return results;
+}
+
 wire::JobAnswer
 notRunAnswer(const wire::Job &job, int httpStatus, const char *kind, const std::string &message, int retryAfterMs)
 {
@@ -37,11 +49,7 @@
     answer.errorKind = kind;
     answer.errorMessage = message;
     answer.retryAfterMs = retryAfterMs;
-    std::ranges::transform(job.tasks, std::back_inserter(answer.tasks), [](const wire::Task &task) {
-        wire::TaskResult result;
-        result.taskId = task.taskId;
-        return result;
-    });
+    answer.tasks = uniformResults(job, wire::Ran::NO);
     return answer;
 }
 
--- a/request/admission.h
+++ b/request/admission.h
@@ -8,6 +8,7 @@
 #include <messages_types.h>
 
 #include <optional>
+#include <vector>
 
 namespace marjoramferry {
 
@@ -31,6 +32,9 @@
 /** A part of @p limit for the owner at @p index of @p owners; the parts add up to the limit. */
 int partOfLimit(int limit, int index, int owners);
 
+/** The job's tasks in their order, with the same said of each. */
+std::vector<wire::TaskResult> uniformResults(const wire::Job &job, wire::Ran::type ran);
+
 /** A failed answer under which no task ran. */
 wire::JobAnswer
 notRunAnswer(const wire::Job &job, int httpStatus, const char *kind, const std::string &message, int retryAfterMs);
--- a/request/answer_memory.cpp
+++ b/request/answer_memory.cpp
@@ -1,5 +1,7 @@
 #include "request/answer_memory.h"
 
+#include "request/admission.h"
+
 #include <algorithm>
 #include <ranges>
 
@@ -38,12 +40,7 @@
     answer.jobId = job.jobId;
     answer.errorKind = "output_dropped";
     answer.errorMessage = "every task ran, but outputs are no longer held; don't submit the work again";
-    std::ranges::transform(job.tasks, std::back_inserter(answer.tasks), [](const wire::Task &task) {
-        wire::TaskResult result;
-        result.taskId = task.taskId;
-        result.ran = wire::Ran::YES;
-        return result;
-    });
+    answer.tasks = uniformResults(job, wire::Ran::YES);
     return answer;
 }
 
--- a/request/job_router.cpp
+++ b/request/job_router.cpp
@@ -1,6 +1,7 @@
 #include "request/job_router.h"
 
 #include "core/shard.h"
+#include "request/admission.h"
 #include "request/job_json.h"
 
 #include <absl/strings/str_cat.h>
@@ -168,12 +169,7 @@
     answer.errorKind = "owner_unreachable";
     answer.errorMessage = "no owner of the job answered in time; submit the same job_id and body again";
     // Another entry may have brought the same job to its owner, so not even an unsent one is "not run".
-    std::ranges::transform(request.job.tasks, std::back_inserter(answer.tasks), [](const wire::Task &task) {
-        wire::TaskResult result;
-        result.taskId = task.taskId;
-        result.ran = wire::Ran::UNKNOWN;
-        return result;
-    });
+    answer.tasks = uniformResults(request.job, wire::Ran::UNKNOWN);
     return answer;
 }
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -91,6 +91,26 @@
         --start-log "$work_dir/starts$1.log"
 }
 
+# The deployments that the tests and benchmarks use: three failure domains, the guild's first note.
+domains=(bogota medellin cali)
+entry_links() { echo "$(entry_link 0), $(entry_link 1), $(entry_link 2)"; }
+
+# bring_up ENTRIES RUNNERS SLOTS [LINES]: starts table service, entries, and runners with their
+# agents, publishes the note and waits until every entry knows every agent. LINES are for the
+# entries' INI files.
+bring_up() {
+    local index
+    start_table
+    for ((index = 0; index < $1; index++)); do start_entry "$index" "${domains[$index]}" "${4:-}"; done
+    for ((index = 0; index < $2; index++)); do
+        start_agent "$index" "${domains[$((index % 3))]}" "$([ "$1" -eq 1 ] && entry_link 0 || entry_links)"
+        start_endpoint "$index" orders "$3"
+    done
+    for ((index = 0; index < $1; index++)); do wait_for 30 is_ready "$index" || return 1; done
+    tool 0 note publish examples/guild/first-note.json >/dev/null || return 1
+    for ((index = 0; index < $1; index++)); do wait_for 30 has_agents "$index" "$2" || return 1; done
+}
+
 tool() {
     "$build_dir/programs/marjoramferry" --entry "$(entry_http "$1")" "${@:2}"
 }
--- a/tests/processes/common.sh
+++ b/tests/processes/common.sh
@@ -8,12 +8,10 @@
 source scripts/deployment.sh
 trap 'stop_all; rm -rf "$work_dir"' EXIT
 
-domains=(bogota medellin cali)
 agents=6
-links="$(entry_link 0), $(entry_link 1), $(entry_link 2)"
 
 start_entry_again() { start_entry "$1" "${domains[$1]}"; }
-start_agent_again() { start_agent "$1" "${domains[$(($1 % 3))]}" "$links"; }
+start_agent_again() { start_agent "$1" "${domains[$(($1 % 3))]}" "$(entry_links)"; }
 
 fail() {
     echo "$(basename "$0"): $*" >&2
@@ -21,19 +19,6 @@
     exit 1
 }
 
-bring_up() {
-    start_table
-    local index
-    for index in 0 1 2; do start_entry_again "$index"; done
-    for ((index = 0; index < agents; index++)); do
-        start_agent_again "$index"
-        start_endpoint "$index" orders 8
-    done
-    for index in 0 1 2; do wait_for 30 is_ready "$index" || fail "entry $index is not ready"; done
-    tool 0 note publish examples/guild/first-note.json >/dev/null
-    for index in 0 1 2; do wait_for 30 has_agents "$index" "$agents" || fail "entry $index lacks agents"; done
-}
-
 # load SECONDS RATE PREFIX ENTRIES: runs a load in the background; its report is in PREFIX.json.
 load() {
     "$PWD/build/release/benchmarks/marjoramferry-bench" --entries "$4" --rate "$2" --seconds "$1" --tenant talleres \
--- a/tests/processes/domain_out_test.sh
+++ b/tests/processes/domain_out_test.sh
@@ -2,7 +2,7 @@
 # A failure domain is taken out under load and brought back: once the call is answered no task
 # starts there, jobs go on elsewhere, and after bringing it back tasks start there again.
 source "$(dirname "$0")/common.sh"
-bring_up
+bring_up 3 "$agents" 8 || fail "the deployment did not come up"
 load 9 20 domain "$(entry_http 0),$(entry_http 1)"
 sleep 1
 tool 2 domain out cali >"$work_dir/out.txt" || fail "domain out was refused"
--- a/tests/processes/rolling_restart_test.sh
+++ b/tests/processes/rolling_restart_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A planned restart of every entry and every agent, one after another, under load: no job fails.
 source "$(dirname "$0")/common.sh"
-bring_up
+bring_up 3 "$agents" 8 || fail "the deployment did not come up"
 # The caller's side of the platform's balancer: an entry that drains is left out, so the load goes to
 # entry 2 while 0 and 1 restart, and to entry 0 while 2 and the agents do.
 load 8 15 first "$(entry_http 2)"
--- a/tests/processes/store_outage_test.sh
+++ b/tests/processes/store_outage_test.sh
@@ -3,7 +3,7 @@
 # honest answer, no task starts twice, and the system heals by itself.
 source "$(dirname "$0")/common.sh"
 faults() { curl -fsS -d "$1" "http://$(table_address)/faults" >/dev/null; }
-bring_up
+bring_up 3 "$agents" 8 || fail "the deployment did not come up"
 load 16 15 outage "$(entry_http 0),$(entry_http 1),$(entry_http 2)"
 sleep 1
 faults '{"outage": true}'
--- a/tests/processes/sudden_death_test.sh
+++ b/tests/processes/sudden_death_test.sh
@@ -2,7 +2,7 @@
 # Entries and agents are killed and frozen under load: no task starts twice, every job is answered
 # by the entry that lives on, and an answer of "complete" has all its starts.
 source "$(dirname "$0")/common.sh"
-bring_up
+bring_up 3 "$agents" 8 || fail "the deployment did not come up"
 load 14 15 death "$(entry_http 0)"
 sleep 1
 end entry1 KILL
