--- a/connection/http_client.cpp
+++ b/connection/http_client.cpp
@@ -1,6 +1,7 @@
 #include "connection/http_client.h"
 
 #include "core/bounded_ring.h"
+#include "core/clock.h"
 
 #include <curl/curl.h>
 
@@ -19,6 +20,10 @@
 constexpr long IdleConnectionSeconds = 20;
 constexpr size_t MaxAnswerBytes = 64U << 20U;
 
+constexpr const char *JsonBody = "Content-Type: application/json";
+/** Without this, curl waits for a "100 Continue" before larger bodies. */
+constexpr const char *NoExpect = "Expect:";
+
 /** A call under way. */
 struct Transfer
 {
@@ -27,6 +32,12 @@
     std::string answer;
     int timesSent = 0;
     bool isLate = false;
+    curl_slist *headers = nullptr; ///< Of this call alone.
+
+    ~Transfer()
+    {
+        curl_slist_free_all(headers);
+    }
 };
 
 size_t onBody(char *data, size_t, size_t size, void *context)
@@ -44,7 +55,7 @@
 {
     auto *transfer = static_cast<Transfer *>(context);
     const auto &notAfter = transfer->call.notAfter;
-    if (notAfter && std::chrono::steady_clock::now() >= *notAfter) {
+    if (notAfter && monotonicNow() >= *notAfter) {
         transfer->isLate = true;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -84,9 +95,8 @@
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     multi_ = curl_multi_init();
-    headers_ = curl_slist_append(nullptr, "Content-Type: application/json");
-    // Without this, curl waits for a "100 Continue" before larger bodies.
-    headers_ = curl_slist_append(headers_, "Expect:");
+    headers_ = curl_slist_append(nullptr, JsonBody);
+    headers_ = curl_slist_append(headers_, NoExpect);
     curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, connectionsPerHost);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, connectionsPerHost);
     thread_ = std::thread([this] { run(); });
@@ -146,7 +156,14 @@
     }
     curl_easy_setopt(handle, CURLOPT_URL, transfer.call.url.c_str());
     curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers_);
+    for (const std::string &header : transfer.call.headers) {
+        transfer.headers = curl_slist_append(transfer.headers, header.c_str());
+    }
+    if (transfer.headers != nullptr) {
+        transfer.headers = curl_slist_append(transfer.headers, JsonBody);
+        transfer.headers = curl_slist_append(transfer.headers, NoExpect);
+    }
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, transfer.headers != nullptr ? transfer.headers : headers_);
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(transfer.call.timeout.count()));
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, IdleConnectionSeconds);
     curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, onBody);
--- a/connection/http_client.h
+++ b/connection/http_client.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace marjoramferry {
 
@@ -15,6 +16,7 @@
     std::string method = "POST";
     std::string url;
     std::string body;
+    std::vector<std::string> headers; ///< As "Name: value".
     Milliseconds timeout{1000};
     std::optional<MonotonicTime> notAfter; ///< The request doesn't go out after this.
 };
--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -4,15 +4,23 @@
 #include "request/job_json.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <event2/util.h>
 #include <microhttpd.h>
 
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <atomic>
 #include <cerrno>
 #include <cstring>
+#include <map>
+#include <thread>
 #include <utility>
 
 namespace marjoramferry {
@@ -24,6 +32,19 @@
 constexpr int MillisecondsPerSecond = 1000;
 constexpr unsigned ConnectionMemoryBytes = 32U << 10U;
 constexpr unsigned IdleTimeoutSeconds = 60;
+constexpr int MaxCloseEvents = 64;
+constexpr Milliseconds FlushAtStop{50};
+
+MHD_Result keepHeader(void *context, MHD_ValueKind, const char *name, const char *value)
+{
+    auto &[wanted, kept]
+        = *static_cast<std::pair<const std::vector<std::string> &, std::map<std::string, std::string> &> *>(context);
+    const std::string lower = absl::AsciiStrToLower(name);
+    if (value != nullptr && std::ranges::find(wanted, lower) != wanted.end()) {
+        kept[lower] = value;
+    }
+    return MHD_YES;
+}
 
 } // namespace
 
@@ -56,6 +77,9 @@
                                 void **context);
     static void onCompleted(void *self, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code);
 
+    void watchForClose(MHD_Connection *connection, uint64_t token);
+    void reportClosed();
+
     Exchange *begin(MHD_Connection *connection, const char *url, const char *method);
     void take(Exchange &exchange, const char *data, size_t size) const;
     MHD_Result handOver(Exchange &exchange);
@@ -68,6 +92,9 @@
     uint64_t lastToken_ ABSL_GUARDED_BY(mutex_) = 0;
     absl::flat_hash_map<uint64_t, Exchange *> waiting_ ABSL_GUARDED_BY(mutex_);
     MHD_Daemon *daemon_ = nullptr;
+    int closeWatch_ = -1; ///< An epoll set of the sockets of waiting requests.
+    std::atomic<bool> stopping_{false};
+    std::thread closeThread_;
 };
 
 HttpServer::Impl::Impl(HttpServerOptions options, Sink sink, Direct direct)
@@ -106,6 +133,44 @@
         throw Error(
             ErrorKind::Unavailable, options_.listenAddress, std::strerror(errno), "free the port or set another one");
     }
+    if (options_.onAbandoned) {
+        closeWatch_ = epoll_create1(EPOLL_CLOEXEC);
+        closeThread_ = std::thread([this] { reportClosed(); });
+    }
+}
+
+/** MHD does not look at the socket of a suspended request, so another epoll set does. */
+void HttpServer::Impl::watchForClose(MHD_Connection *connection, uint64_t token)
+{
+    if (closeWatch_ < 0) {
+        return;
+    }
+    const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLONESHOT;
+    event.data.u64 = token;
+    if (epoll_ctl(closeWatch_, EPOLL_CTL_ADD, info->connect_fd, &event) != 0 && errno == EEXIST) {
+        epoll_ctl(closeWatch_, EPOLL_CTL_MOD, info->connect_fd, &event);
+    }
+}
+
+void HttpServer::Impl::reportClosed()
+{
+    constexpr int WaitMs = 500;
+    std::array<epoll_event, MaxCloseEvents> events{};
+    while (!stopping_) {
+        const int count = epoll_wait(closeWatch_, events.data(), MaxCloseEvents, WaitMs);
+        for (int i = 0; i < count; ++i) {
+            const uint64_t token = events.at(static_cast<size_t>(i)).data.u64;
+            {
+                absl::MutexLock lock(&mutex_);
+                if (!waiting_.contains(token)) {
+                    continue;
+                }
+            }
+            options_.onAbandoned(token);
+        }
+    }
 }
 
 HttpServer::Impl::~Impl()
@@ -124,7 +189,14 @@
                         R"({"error":{"kind":"stopping","message":"the process stops; ask again"}})",
                         MillisecondsPerSecond});
     }
+    // Stopping the daemon cuts answers that are not written yet.
+    std::this_thread::sleep_for(FlushAtStop);
     MHD_stop_daemon(daemon_);
+    if (closeWatch_ >= 0) {
+        stopping_ = true;
+        closeThread_.join();
+        close(closeWatch_);
+    }
 }
 
 MHD_Result HttpServer::Impl::onRequest(void *self,
@@ -156,6 +228,11 @@
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
+    if (!options_.headers.empty()) {
+        std::pair<const std::vector<std::string> &, std::map<std::string, std::string> &> kept(
+            options_.headers, exchange->request.headers);
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &keepHeader, &kept);
+    }
     absl::MutexLock lock(&mutex_);
     exchange->request.token = ++lastToken_;
     return exchange.release();
@@ -192,6 +269,7 @@
         absl::MutexLock lock(&mutex_);
         waiting_[token] = &exchange;
         MHD_suspend_connection(exchange.connection);
+        watchForClose(exchange.connection, token);
     }
     if (!sink_(std::move(exchange.request))) {
         reply(HttpReply{token,
@@ -225,6 +303,9 @@
         const int seconds = (reply.retryAfterMs + MillisecondsPerSecond - 1) / MillisecondsPerSecond;
         MHD_add_response_header(response, MHD_HTTP_HEADER_RETRY_AFTER, std::to_string(seconds).c_str());
     }
+    if (reply.closes) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     const MHD_Result result = MHD_queue_response(connection, static_cast<unsigned>(reply.status), response);
     MHD_destroy_response(response);
     return result;
--- a/connection/http_server.h
+++ b/connection/http_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace marjoramferry {
 
@@ -16,6 +17,8 @@
     std::string listenAddress; ///< host:port, an IP number.
     size_t maxBodyBytes = 4U << 20U;
     unsigned connectionLimit = 4000;
+    std::vector<std::string> headers; ///< Lower-case names of the request headers to keep.
+    std::function<void(uint64_t token)> onAbandoned; ///< The caller of a waiting request has gone. May be empty.
 };
 
 /** Serves HTTP on one thread. A request waits, without a thread of its own, until it is answered. */
--- a/connection/link_loop.cpp
+++ b/connection/link_loop.cpp
@@ -43,7 +43,12 @@
     Message message;
 };
 
-using Outbound = std::variant<ToLink, ToPeer>;
+struct Reset
+{
+    std::string address;
+};
+
+using Outbound = std::variant<ToLink, ToPeer, Reset>;
 
 struct Address
 {
@@ -100,6 +105,7 @@
     void sendQueued();
     void sendOne(const ToLink &item);
     void sendOne(const ToPeer &item);
+    void sendOne(const Reset &item);
     Connection *connectionTo(const std::string &address);
     void write(Connection &connection, const Message &message);
     bool readFrame(Connection &connection);
@@ -230,6 +236,20 @@
     }
 }
 
+void LinkLoop::Impl::sendOne(const Reset &item)
+{
+    brokenAt_.erase(item.address);
+    const auto found = peers_.find(item.address);
+    if (found == peers_.end()) {
+        return;
+    }
+    const linger atOnce{1, 0};
+    bufferevent *stream = found->second->stream;
+    setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+    bufferevent_free(stream);
+    peers_.erase(found);
+}
+
 LinkLoop::Impl::Connection *LinkLoop::Impl::connectionTo(const std::string &address)
 {
     if (const auto found = peers_.find(address); found != peers_.end()) {
@@ -369,6 +389,11 @@
     impl_->send(ToPeer{std::move(address), std::move(message)});
 }
 
+void LinkLoop::resetPeer(std::string address)
+{
+    impl_->send(Reset{std::move(address)});
+}
+
 const LinkTraffic &LinkLoop::traffic() const
 {
     return impl_->traffic;
--- a/connection/link_loop.h
+++ b/connection/link_loop.h
@@ -56,6 +56,9 @@
     void sendToLink(LinkId link, Message message);
     void sendToPeer(std::string address, Message message);
 
+    /** Closes the connection to a peer at once; what is still unsent, also in the kernel, is dropped. */
+    void resetPeer(std::string address);
+
     const LinkTraffic &traffic() const;
 
 private:
--- a/connection/message_codec.cpp
+++ b/connection/message_codec.cpp
@@ -32,6 +32,8 @@
                    [&](const wire::Fence &each) { envelope.__set_fence(each); },
                    [&](const wire::StartRecords &each) { envelope.__set_startRecords(each); },
                    [&](const wire::ResolveTasks &each) { envelope.__set_resolveTasks(each); },
+                   [&](const wire::EntryBatch &each) { envelope.__set_entryBatch(each); },
+                   [&](const wire::AgentBatch &each) { envelope.__set_agentBatch(each); },
                },
                message);
     return envelope;
@@ -75,6 +77,12 @@
     if (has.resolveTasks) {
         return std::move(envelope.resolveTasks);
     }
+    if (has.entryBatch) {
+        return std::move(envelope.entryBatch);
+    }
+    if (has.agentBatch) {
+        return std::move(envelope.agentBatch);
+    }
     throw malformed("is of no known kind");
 }
 
--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -1,13 +1,18 @@
 #include "process/settings.h"
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "process/ini_file.h"
 
 #include <absl/random/random.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
 
 #include <array>
+#include <functional>
+#include <map>
 
 namespace marjoramferry {
 
@@ -99,16 +104,96 @@
     return settings;
 }
 
+/** Seeds are known by any of their addresses; their links listen on the same port as everybody's. */
+std::vector<std::string> readSeeds(IniFile &ini, const std::string &section, const std::string &linkPort)
+{
+    std::vector<std::string> seeds;
+    const std::string list = ini.text(section, "seeds", "");
+    for (const absl::string_view each : absl::StrSplit(list, ',', absl::SkipWhitespace())) {
+        const absl::string_view host = absl::StripAsciiWhitespace(each.substr(0, each.find(':')));
+        seeds.push_back(absl::StrCat(host, ":", linkPort));
+    }
+    return seeds;
+}
+
+std::string portOf(const std::string &address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+WorkEntrySettings readWorkEntry(IniFile &ini)
+{
+    constexpr const char *Section = "work_entry";
+    WorkEntrySettings settings;
+    WorkEntryOptions &options = settings.options;
+    options.name = ini.require("process", "name");
+    options.incarnation = newIncarnation(options.name);
+    ini.require("process", "domain");
+    settings.logLevel = readLogLevel(ini);
+    settings.httpListen = ini.address(Section, "http_listen");
+    settings.readinessListen = ini.address(Section, "readiness_listen");
+    settings.metricsListen = ini.address(Section, "metrics_listen");
+    settings.linkListen = ini.address(Section, "link_listen");
+    settings.maxBodyBytes = ini.bytes(Section, "max_body", settings.maxBodyBytes);
+    options.linkAddress = settings.linkListen;
+    options.seeds = readSeeds(ini, Section, portOf(settings.linkListen));
+    options.grace = ini.duration(Section, "grace", options.grace);
+    options.drainAccept = ini.duration(Section, "drain_accept", options.drainAccept);
+    options.directory.beat = ini.duration(Section, "beat", options.directory.beat);
+    options.directory.suspect = ini.duration(Section, "suspect", options.directory.suspect);
+    options.directory.giveUp = ini.duration(Section, "give_up", options.directory.giveUp);
+    settings.store.address = ini.address("platform", "store");
+    settings.store.timeout = ini.duration("platform", "store_timeout", Milliseconds(400));
+    absl::BitGen random;
+    options.desk.seed = absl::Uniform<uint64_t>(random);
+    return settings;
+}
+
+WorkAgentSettings readWorkAgent(IniFile &ini)
+{
+    constexpr const char *Section = "work_agent";
+    WorkAgentSettings settings;
+    WorkAgentOptions &options = settings.options;
+    options.name = ini.require("process", "name");
+    options.incarnation = newIncarnation(options.name);
+    options.domain = ini.require("process", "domain");
+    settings.logLevel = readLogLevel(ini);
+    settings.httpListen = ini.address(Section, "http_listen");
+    settings.metricsListen = ini.address(Section, "metrics_listen");
+    constexpr long MostPort = 65'535;
+    const long linkPort = ini.number(Section, "entry_port", 0, 1, MostPort);
+    options.seeds = readSeeds(ini, Section, std::to_string(linkPort));
+    options.grace = ini.duration(Section, "grace", options.grace);
+    options.beat = ini.duration(Section, "beat", options.beat);
+    options.entryLapse = ini.duration(Section, "entry_lapse", options.entryLapse);
+    options.worker.lease = ini.duration(Section, "lease", options.worker.lease);
+    options.worker.watch = ini.duration(Section, "watch", options.worker.watch);
+    settings.store.address = ini.address("platform", "store");
+    settings.store.timeout = ini.duration("platform", "store_timeout", Milliseconds(400));
+    constexpr long MostConnections = 1024;
+    settings.workerConnections = ini.number(Section, "worker_connections", 16, 1, MostConnections);
+    options.fence = wallMilliseconds();
+    return settings;
+}
+
+using Reader = std::function<Settings(IniFile &)>;
+
 } // namespace
 
 Settings readSettings(const std::string &path)
 {
     IniFile ini(path);
     const std::string role = ini.require("process", "role");
-    if (role != "entry" && role != "agent") {
-        throw Error(ErrorKind::Settings, "[process] role", "\"" + role + "\" is no role", "use entry or agent");
+    static const std::map<std::string, Reader> Readers = {
+        {"entry", &readEntry}, {"agent", &readAgent}, {"work-entry", &readWorkEntry}, {"work-agent", &readWorkAgent}};
+    const auto reader = Readers.find(role);
+    if (reader == Readers.end()) {
+        throw Error(ErrorKind::Settings,
+                    "[process] role",
+                    "\"" + role + "\" is no role",
+                    "use entry, agent, work-entry or work-agent");
     }
-    Settings settings = role == "entry" ? Settings(readEntry(ini)) : Settings(readAgent(ini));
+    Settings settings = reader->second(ini);
     ini.requireAllUsed();
     return settings;
 }
--- a/programs/marjoramferryd.cpp
+++ b/programs/marjoramferryd.cpp
@@ -3,6 +3,8 @@
 #include "process/entry_process.h"
 #include "process/logging.h"
 #include "process/settings.h"
+#include "process/work_agent_process.h"
+#include "process/work_entry_process.h"
 
 #include <boost/program_options.hpp>
 
@@ -82,9 +84,32 @@
                 writeLog(LogEvent{LogEvent::Level::Info, "started", {{"role", "agent"}, {"http", each.httpListen}}});
                 runWithSignals(process, path);
             },
+            [&](const WorkEntrySettings &each) {
+                setUpQueuedLogging(each.options.name, each.logLevel);
+                WorkEntryProcess process(each);
+                writeLog(LogEvent{LogEvent::Level::Info,
+                                  "started",
+                                  {{"role", "work-entry"},
+                                   {"http", each.httpListen},
+                                   {"links", each.linkListen},
+                                   {"incarnation", each.options.incarnation}}});
+                runWithSignals(process, path);
+            },
+            [&](const WorkAgentSettings &each) {
+                setUpQueuedLogging(each.options.name, each.logLevel);
+                WorkAgentProcess process(each);
+                writeLog(LogEvent{LogEvent::Level::Info,
+                                  "started",
+                                  {{"role", "work-agent"},
+                                   {"http", each.httpListen},
+                                   {"fence", std::to_string(each.options.fence)},
+                                   {"incarnation", each.options.incarnation}}});
+                runWithSignals(process, path);
+            },
         },
         settings);
     writeLog(LogEvent{LogEvent::Level::Info, "stopped", {}});
+    finishLogging();
     return ExitOk;
 }
 
--- a/request/entry_command.h
+++ b/request/entry_command.h
@@ -34,6 +34,7 @@
     std::string body;
     int retryAfterMs = 0; ///< Sent as Retry-After when above zero.
     std::string contentType = "application/json";
+    bool closes = false; ///< The connection ends with this answer.
 };
 
 struct TableCall
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -42,6 +42,7 @@
     std::string method;
     std::string path;
     std::string body;
+    std::map<std::string, std::string> headers; ///< Those that the server was asked to keep, by their lower-case names.
 };
 
 struct LinkMessage
--- a/request/message.h
+++ b/request/message.h
@@ -16,7 +16,9 @@
                              wire::TaskReport,
                              wire::Fence,
                              wire::StartRecords,
-                             wire::ResolveTasks>;
+                             wire::ResolveTasks,
+                             wire::EntryBatch,
+                             wire::AgentBatch>;
 
 /** Lets std::visit take one lambda for each alternative. */
 template<typename... Handlers>
--- /dev/null
+++ b/request/operator_memory.cpp
@@ -0,0 +1,38 @@
+#include "request/operator_memory.h"
+
+#include <absl/strings/match.h>
+
+#include <algorithm>
+
+namespace marjoramferry {
+
+bool OperatorMemory::take(const wire::OperatorState &state)
+{
+    if (state.position <= state_.position) {
+        return false;
+    }
+    if (state.configurationVersion < state_.configurationVersion) {
+        return false;
+    }
+    state_ = state;
+    return true;
+}
+
+const wire::Route *OperatorMemory::find(const std::string &host, const std::string &path) const
+{
+    const wire::Route *best = nullptr;
+    for (const wire::Route &route : state_.routes) {
+        const bool fits = absl::EqualsIgnoreCase(route.host, host) && absl::StartsWith(path, route.pathPrefix);
+        if (fits && (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+bool OperatorMemory::isEvacuated(const std::string &domain) const
+{
+    return std::ranges::find(state_.evacuatedDomains, domain) != state_.evacuatedDomains.end();
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/work_agent.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/entry_command.h"
+#include "request/operator_memory.h"
+#include "request/repeated_outbox.h"
+#include "request/worker_keeper.h"
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace marjoramferry {
+
+struct WorkAgentOptions
+{
+    std::string name;
+    std::string incarnation; ///< New with every start of the process.
+    std::string domain;
+    std::vector<std::string> seeds; ///< host:port of the links of some entries.
+    WorkerTiming worker;
+    Milliseconds beat{150}; ///< Each entry hears from this agent at least so often.
+    Milliseconds entryLapse{700}; ///< Runs of an entry end when the agent has had no proof of its life for so long.
+    Milliseconds shareState{8}; ///< Least time between two words of changed room to an entry that asked for nothing.
+    Milliseconds redial{300}; ///< An entry that does not answer is dialled again after this, at first.
+    Milliseconds redialMost{3000};
+    Milliseconds membersPoll{1500}; ///< How often the list of entries is read while none answers.
+    Milliseconds grace{5200}; ///< Time from the request to stop until the process ends whatever runs.
+    int64_t fence = 0;
+};
+
+/** The list of entries was read from the store. */
+struct EntriesRead
+{
+    std::vector<std::string> addresses;
+};
+
+/** The operators' word was read from the store. */
+struct OperatorStateRead
+{
+    wire::OperatorState state;
+};
+
+using WorkAgentEvent = std::variant<Tick,
+                                    PeerMessage,
+                                    PeerClosed,
+                                    WorkerAnnouncement,
+                                    WorkerDeparture,
+                                    WorkerReply,
+                                    EntriesRead,
+                                    OperatorStateRead,
+                                    DrainAsked>;
+
+/** Closes the connection to a peer without letting out what is still unsent. */
+struct ResetPeer
+{
+    std::string address;
+};
+
+struct ReadEntries
+{
+};
+
+struct ReadOperatorState
+{
+};
+
+using WorkAgentCommand
+    = std::variant<SendToPeer, ResetPeer, WorkerCall, ReadEntries, ReadOperatorState, LogEvent, Observation, Stop>;
+
+/**
+ * The decisions of an agent beside a worker that runs many tasks at once. Pure.
+ *
+ * It runs what entries ask for while it has proof that they live, and stops it otherwise, so that an
+ * entry may take a task for ended some time after its last word with the agent.
+ */
+class WorkAgent
+{
+public:
+    explicit WorkAgent(WorkAgentOptions options);
+
+    void handle(const WorkAgentEvent &event, MonotonicTime now);
+
+    /** What to do after a number of events. */
+    std::vector<WorkAgentCommand> flush(MonotonicTime now);
+
+private:
+    /** An entry, by its address. */
+    struct Entry
+    {
+        std::string incarnation;
+        int64_t session = 0;
+        int64_t echoedUs = 0; ///< The newest time of this agent's clock that the entry has proved to know.
+        RepeatedOutbox<wire::RunEnd> ends;
+        RepeatFilter instructions;
+        int64_t acknowledgedToEntry = 0; ///< What the entry was last told that this agent has.
+        int64_t operatorPosition = 0;
+        int64_t operatorSent = 0;
+        MonotonicTime heardAt;
+        MonotonicTime sentAt;
+        MonotonicTime dialledAt;
+        Milliseconds redial{0};
+        wire::WorkerState stateSent;
+        bool isConnected = false; ///< It has answered over the present connection.
+        bool hasLapsed = true; ///< Its runs were withdrawn for want of proof that it lives.
+    };
+
+    void onEntryBatch(const PeerMessage &event, MonotonicTime now);
+    void onPeerClosed(const PeerClosed &event, MonotonicTime now);
+    void beginSession(const std::string &address, Entry &entry, const wire::EntryBatch &batch, MonotonicTime now);
+    void take(const Entry &entry, const wire::EntryBatch &batch, const wire::RunOrder &order, MonotonicTime now);
+    void onTick(MonotonicTime now);
+    void onDrain(MonotonicTime now);
+    void meet(const std::string &address);
+    void keepConnection(const std::string &address, Entry &entry, MonotonicTime now);
+    void checkLife(Entry &entry, MonotonicTime now);
+    void takeOperatorState(const wire::OperatorState &state);
+    void distributeEnds();
+    void sendDue(const std::string &address, Entry &entry, MonotonicTime now);
+    void send(const std::string &address, Entry &entry, MonotonicTime now);
+    bool isAlive(const Entry &entry, MonotonicTime now) const;
+    int64_t clockUs(MonotonicTime now) const;
+    void stopWhenDone(MonotonicTime now);
+    void log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields);
+
+    const WorkAgentOptions options_;
+    WorkerKeeper keeper_;
+    OperatorMemory operators_;
+    std::map<std::string, Entry> entries_; ///< By address.
+    MonotonicTime membersReadAt_;
+    MonotonicTime operatorReadAt_;
+    std::optional<MonotonicTime> drainingSince_;
+    bool stopSent_ = false;
+    std::vector<WorkAgentCommand> out_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/work_desk.cpp
@@ -0,0 +1,565 @@
+#include "request/work_desk.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace marjoramferry {
+
+namespace {
+
+/** A run that is lost again and again says that its job can't be served at present. */
+constexpr int64_t MaxAttempts = 8;
+/** Jobs looked at in a row that find no room before the rest of the queue is left for later. */
+constexpr int MaxMisses = 4;
+/** Runs of late jobs wait at an agent behind all that can be in time. */
+constexpr int64_t LateRankMs = 60'000;
+/** An answer should reach its caller this long before it stops waiting. */
+constexpr Milliseconds AnswerMargin{20};
+constexpr Milliseconds LeastRetryAfter{1000};
+constexpr Milliseconds MostRetryAfter{10'000};
+/** Most that retries of overdue tasks may be saved up. */
+constexpr double MostRetryBudget = 20;
+
+/** The longest chain of expected run times through the steps. */
+Milliseconds longestChain(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &expected)
+{
+    std::vector<Milliseconds> ends(steps.size());
+    Milliseconds longest{0};
+    for (size_t i = 0; i < steps.size(); ++i) {
+        Milliseconds begin{0};
+        for (const int before : steps[i].after) {
+            begin = std::max(begin, ends[static_cast<size_t>(before)]);
+        }
+        ends[i] = begin + expected[i];
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+} // namespace
+
+WorkDesk::WorkDesk(DeskOptions options, WorkerDirectory &directory)
+    : options_(options)
+    , directory_(directory)
+    , random_(options.seed)
+{
+}
+
+void WorkDesk::submit(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now)
+{
+    jobsByToken_[call.address.token] = jobId;
+    if (const auto found = jobs_.find(jobId); found != jobs_.end()) {
+        found->second.tokens.push_back(call.address.token);
+        out_.log(LogEvent::Level::Info, "job_joined", {{"request", call.address.requestId}, {"job", jobId}});
+        return;
+    }
+    Job job;
+    job.id = jobId;
+    job.requestId = call.address.requestId;
+    job.tokens = {call.address.token};
+    job.route = route;
+    job.spec = call.job.spec;
+    std::vector<Milliseconds> expected;
+    for (const WorkStep &wanted : call.job.steps) {
+        Step step;
+        step.wanted = wanted;
+        step.tasks.resize(static_cast<size_t>(wanted.count));
+        step.left = wanted.count;
+        step.expected = book_.expect(route.name, wanted.estimate);
+        expected.push_back(step.expected);
+        job.left += wanted.count;
+        job.steps.push_back(std::move(step));
+    }
+    job.queued = job.left;
+    const Milliseconds chain = longestChain(call.job.steps, expected);
+    const Milliseconds wait = call.deadline.count() > 0 ? call.deadline : options_.defaultDeadline;
+    const auto objective
+        = std::chrono::duration_cast<Milliseconds>(chain * route.stretch) + Milliseconds(route.targetLatencyMs);
+    job.arrivedAt = now;
+    job.startBy = now + objective - chain;
+    job.deadlineAt = now + wait;
+    job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(wait * options_.waitShare),
+                            job.deadlineAt - AnswerMargin - chain);
+    out_.log(LogEvent::Level::Info,
+             "job_accepted",
+             {{"request", job.requestId},
+              {"job", jobId},
+              {"queue", route.name},
+              {"tasks", absl::StrCat(job.left)},
+              {"expected_ms", absl::StrCat(chain.count())},
+              {"deadline_ms", absl::StrCat(wait.count())},
+              {"waiting_jobs", absl::StrCat(queue_.size())}});
+    Job &kept = jobs_[jobId] = std::move(job);
+    enqueue(kept, now);
+}
+
+WorkDesk::Place WorkDesk::placeOf(const Job &job, MonotonicTime now) const
+{
+    return Place{!job.hasBegun && job.startBy < now, job.startBy, job.id};
+}
+
+void WorkDesk::enqueue(Job &job, MonotonicTime now)
+{
+    if (places_.contains(job.id)) {
+        return;
+    }
+    const Place place = placeOf(job, now);
+    places_[job.id] = place;
+    queue_.insert(place);
+}
+
+bool WorkDesk::knows(const std::string &jobId) const
+{
+    return jobs_.contains(jobId);
+}
+
+int WorkDesk::pending(const std::string &route) const
+{
+    return static_cast<int>(std::ranges::count_if(
+        jobs_, [&](const auto &each) { return !each.second.hasBegun && each.second.route.name == route; }));
+}
+
+bool WorkDesk::cancel(const std::string &jobId, MonotonicTime now)
+{
+    if (!jobs_.contains(jobId)) {
+        return false;
+    }
+    finish(jobId, WorkAnswer::Cancelled, "cancelled", now);
+    return true;
+}
+
+void WorkDesk::abandon(uint64_t token, MonotonicTime now)
+{
+    const auto found = jobsByToken_.find(token);
+    if (found == jobsByToken_.end()) {
+        return;
+    }
+    const std::string jobId = found->second;
+    jobsByToken_.erase(found);
+    const auto job = jobs_.find(jobId);
+    if (job == jobs_.end()) {
+        return;
+    }
+    std::erase(job->second.tokens, token);
+    if (job->second.tokens.empty()) {
+        finish(jobId, WorkAnswer::Interrupted, "caller_gone", now);
+    }
+}
+
+void WorkDesk::advance(const OperatorMemory &operators, MonotonicTime now)
+{
+    withdrawOverdue(now);
+    rejectHopeless(now);
+    placeTasks(operators, now);
+}
+
+void WorkDesk::rejectHopeless(MonotonicTime now)
+{
+    std::vector<std::string> hopeless;
+    std::vector<std::string> expired;
+    for (const auto &[id, job] : jobs_) {
+        if (!job.hasBegun && now > job.rejectAt) {
+            hopeless.push_back(id);
+        } else if (now > job.deadlineAt) {
+            expired.push_back(id);
+        }
+    }
+    for (const std::string &id : hopeless) {
+        finish(id, WorkAnswer::Rejected, "no_room_in_time", now);
+    }
+    for (const std::string &id : expired) {
+        finish(id, WorkAnswer::Interrupted, "deadline_passed", now);
+    }
+    // Those that can't be in time any more move behind those that can.
+    std::vector<Place> outdated;
+    for (const Place &place : queue_) {
+        if (place.isLate || place.startBy >= now) {
+            break;
+        }
+        if (!jobs_.at(place.jobId).hasBegun) {
+            outdated.push_back(place);
+        }
+    }
+    for (const Place &place : outdated) {
+        queue_.erase(place);
+        places_.erase(place.jobId);
+        enqueue(jobs_.at(place.jobId), now);
+    }
+}
+
+void WorkDesk::placeTasks(const OperatorMemory &operators, MonotonicTime now)
+{
+    int misses = 0;
+    const std::vector<Place> order(queue_.begin(), queue_.end());
+    for (const Place &place : order) {
+        Job &job = jobs_.at(place.jobId);
+        if (!placeJob(job, operators, now) && ++misses >= MaxMisses) {
+            return;
+        }
+        if (job.queued == 0) {
+            queue_.erase(place);
+            places_.erase(job.id);
+        }
+    }
+}
+
+bool WorkDesk::isReady(const Job &job, const Step &step) const
+{
+    return std::ranges::all_of(step.wanted.after,
+                               [&](int before) { return job.steps[static_cast<size_t>(before)].left == 0; });
+}
+
+/** Returns false if a task found no worker. */
+bool WorkDesk::placeJob(Job &job, const OperatorMemory &operators, MonotonicTime now)
+{
+    if (!job.hasBegun && runsOf_.contains(job.id)) {
+        return true; // Runs from before the job was sent again have to end first.
+    }
+    for (size_t s = 0; s < job.steps.size(); ++s) {
+        Step &step = job.steps[s];
+        if (step.left == 0 || !isReady(job, step)) {
+            continue;
+        }
+        for (size_t t = 0; t < step.tasks.size(); ++t) {
+            if (step.tasks[t].phase != Phase::Queued) {
+                continue;
+            }
+            WorkerView *view = chooseWorker(job, step, step.tasks[t], operators, now);
+            if (view == nullptr) {
+                return false;
+            }
+            sendTask(job, static_cast<int>(s), static_cast<int>(t), *view, now);
+        }
+    }
+    return true;
+}
+
+WorkerView *WorkDesk::chooseWorker(
+    const Job &job, const Step &step, const Task &task, const OperatorMemory &operators, MonotonicTime now)
+{
+    const Demand &demand = step.wanted.demand;
+    WorkerView *best = nullptr;
+    double bestScore = 0;
+    std::uniform_real_distribution<double> jitter(0, 0.02);
+    for (auto &[agent, view] : directory_.views()) {
+        const wire::WorkerState &state = view.state;
+        if (!directory_.isUsable(view, now) || state.serviceName != job.route.serviceName
+            || operators.isEvacuated(state.domain)) {
+            continue;
+        }
+        const bool hasLabel = step.wanted.requiredLabel.empty()
+            || std::ranges::find(state.labels, step.wanted.requiredLabel) != state.labels.end();
+        const bool isAvoided = std::ranges::find(task.avoid, state.worker) != task.avoid.end();
+        if (!hasLabel || isAvoided) {
+            continue;
+        }
+        const Trust trust = health_.trust(state.worker, now);
+        if (trust == Trust::None) {
+            continue;
+        }
+        const Demand spare{static_cast<int>(state.capacity.cpuMillis * options_.overcommit), 0, 0};
+        const bool fits = demand.fitsIn(view.room);
+        if (!fits && (!demand.fitsIn(view.room + spare) || trust == Trust::Probe)) {
+            continue;
+        }
+        // Fast workers with much room first; one that would make the run wait only if all would.
+        const double roomShare
+            = static_cast<double>(view.room.cpuMillis) / std::max(1, static_cast<int>(state.capacity.cpuMillis));
+        const bool isFar = !step.wanted.preferredLabel.empty()
+            && std::ranges::find(state.labels, step.wanted.preferredLabel) == state.labels.end();
+        const double slowness = book_.slowness(state.worker) * (isFar ? 1.5 : 1.0);
+        const double score = (fits ? 10 : 0) - slowness + 0.3 * roomShare + jitter(random_);
+        if (best == nullptr || score > bestScore) {
+            best = &view;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+void WorkDesk::sendTask(Job &job, int stepIndex, int taskIndex, WorkerView &view, MonotonicTime now)
+{
+    Step &step = job.steps[static_cast<size_t>(stepIndex)];
+    Task &task = step.tasks[static_cast<size_t>(taskIndex)];
+    const std::string worker = view.state.worker;
+    if (health_.trust(worker, now) == Trust::Probe) {
+        health_.noteProbe(worker, now);
+    }
+    task.phase = Phase::Ordered;
+    ++task.attempt;
+    --job.queued;
+    job.hasBegun = true;
+    const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.startBy - now).count();
+    wire::RunOrder order;
+    order.runNumber = ++lastRun_;
+    order.jobId = job.id;
+    order.requestId = job.requestId;
+    order.stepIndex = stepIndex;
+    order.taskIndex = taskIndex;
+    order.attempt = static_cast<int>(task.attempt);
+    order.spec = job.spec;
+    order.demand = toWire(step.wanted.demand);
+    order.rank = slackMs < 0 ? LateRankMs - slackMs : slackMs;
+    order.patienceMs = static_cast<int>(options_.patience.count());
+    Run run;
+    run.jobId = job.id;
+    run.step = stepIndex;
+    run.task = taskIndex;
+    run.agent = view.agent;
+    run.worker = worker;
+    run.session = view.session;
+    run.orderedAt = now;
+    run.overdueAt = overdueAt(step, worker, now);
+    out_.log(LogEvent::Level::Info,
+             "run_ordered",
+             {{"request", job.requestId},
+              {"job", job.id},
+              {"task", absl::StrCat(stepIndex, "/", taskIndex, "/", task.attempt)},
+              {"worker", worker},
+              {"agent", view.agent},
+              {"room_cpu_millis", absl::StrCat(view.room.cpuMillis)},
+              {"state_age_ms", absl::StrCat(millisecondsBetween(view.heardAt, now))}});
+    directory_.order(view, std::move(order));
+    runsOf_[job.id].insert(lastRun_);
+    runs_[lastRun_] = std::move(run);
+    retryBudget_ = std::min(MostRetryBudget, retryBudget_ + options_.retryShare);
+}
+
+MonotonicTime WorkDesk::overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt) const
+{
+    const auto expected
+        = std::chrono::duration_cast<Milliseconds>(step.expected * std::max(1.0, book_.slowness(worker)));
+    return orderedAt + expected + std::max(expected * (options_.overdueFactor - 1), options_.overdueLeast);
+}
+
+void WorkDesk::withdrawOverdue(MonotonicTime now)
+{
+    for (auto &[number, run] : runs_) {
+        if (run.isWithdrawn || now < run.overdueAt || retryBudget_ < 1) {
+            continue;
+        }
+        const auto job = jobs_.find(run.jobId);
+        if (job == jobs_.end()) {
+            continue;
+        }
+        retryBudget_ -= 1;
+        run.isWithdrawn = true;
+        health_.noteOverdue(run.worker, run.orderedAt, now);
+        Step &step = job->second.steps[static_cast<size_t>(run.step)];
+        // The next try gets as long as this one had, and more: perhaps the task is just long.
+        step.expected = std::max(step.expected, std::chrono::duration_cast<Milliseconds>(now - run.orderedAt));
+        step.tasks[static_cast<size_t>(run.task)].avoid.push_back(run.worker);
+        out_.log(LogEvent::Level::Warning,
+                 "run_overdue",
+                 {{"request", job->second.requestId},
+                  {"job", run.jobId},
+                  {"worker", run.worker},
+                  {"expected_ms", absl::StrCat(step.expected.count())},
+                  {"elapsed_ms", absl::StrCat(millisecondsBetween(run.orderedAt, now))}});
+        directory_.withdraw(run.agent, run.session, number);
+    }
+}
+
+void WorkDesk::noteEnd(const std::string &agent, const wire::RunEnd &end, MonotonicTime now)
+{
+    const auto run = runs_.find(end.runNumber);
+    if (run != runs_.end() && run->second.agent == agent) {
+        endRun(end.runNumber, end.outcome, end.reason, end.ranMs, now);
+    }
+}
+
+void WorkDesk::loseRuns(const std::string &agent, int64_t session, MonotonicTime now)
+{
+    std::vector<int64_t> lost;
+    for (const auto &[number, run] : runs_) {
+        if (run.agent == agent && run.session < session) {
+            lost.push_back(number);
+        }
+    }
+    for (const int64_t number : lost) {
+        endRun(number, wire::RunOutcome::GONE, "agent_lost", 0, now);
+    }
+}
+
+void WorkDesk::endRun(
+    int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now)
+{
+    const Run run = std::move(runs_.at(number));
+    runs_.erase(number);
+    const auto siblings = runsOf_.find(run.jobId);
+    siblings->second.erase(number);
+    if (siblings->second.empty()) {
+        runsOf_.erase(siblings);
+    }
+    if (outcome == wire::RunOutcome::DONE) {
+        health_.noteSuccess(run.worker, now);
+    }
+    const auto found = jobs_.find(run.jobId);
+    if (found == jobs_.end()) {
+        return;
+    }
+    Job &job = found->second;
+    Task &task = job.steps[static_cast<size_t>(run.step)].tasks[static_cast<size_t>(run.task)];
+    if (outcome != wire::RunOutcome::DONE) {
+        out_.log(LogEvent::Level::Info,
+                 "run_not_done",
+                 {{"request", job.requestId},
+                  {"job", job.id},
+                  {"task", absl::StrCat(run.step, "/", run.task, "/", task.attempt)},
+                  {"worker", run.worker},
+                  {"outcome", wire::_RunOutcome_VALUES_TO_NAMES.at(outcome)},
+                  {"reason", reason}});
+    }
+    switch (outcome) {
+    case wire::RunOutcome::DONE:
+        taskDone(job, run, ranMs);
+        if (job.left == 0) {
+            finish(run.jobId, WorkAnswer::Complete, "done", now);
+        }
+        return;
+    case wire::RunOutcome::FAILED:
+        taskFailed(job, run, now);
+        return;
+    case wire::RunOutcome::NOT_STARTED:
+        requeue(job, task, now);
+        return;
+    case wire::RunOutcome::GONE:
+        if (task.attempt >= MaxAttempts) {
+            finish(run.jobId, WorkAnswer::Failed, "lost_too_often", now);
+            return;
+        }
+        requeue(job, task, now);
+        return;
+    }
+}
+
+void WorkDesk::taskDone(Job &job, const Run &run, int ranMs)
+{
+    Step &step = job.steps[static_cast<size_t>(run.step)];
+    step.tasks[static_cast<size_t>(run.task)].phase = Phase::Done;
+    --step.left;
+    --job.left;
+    if (ranMs > 0) {
+        book_.note(job.route.name, run.worker, ranMs);
+        // Tasks of a step are alike, so one that ended tells more of the others than any estimate.
+        step.expected = std::max(step.expected, Milliseconds(ranMs));
+        for (const int64_t number : runsOf_.contains(job.id) ? runsOf_.at(job.id) : absl::flat_hash_set<int64_t>()) {
+            Run &sibling = runs_.at(number);
+            if (sibling.step == run.step) {
+                sibling.overdueAt = std::max(sibling.overdueAt, overdueAt(step, sibling.worker, sibling.orderedAt));
+            }
+        }
+    }
+}
+
+void WorkDesk::taskFailed(Job &job, const Run &run, MonotonicTime now)
+{
+    health_.noteFailure(run.worker, now);
+    Task &task = job.steps[static_cast<size_t>(run.step)].tasks[static_cast<size_t>(run.task)];
+    ++task.failures;
+    task.avoid.push_back(run.worker);
+    if (task.failures >= std::max(1, static_cast<int>(job.route.maxAttempts))) {
+        finish(run.jobId, WorkAnswer::Failed, "task_failed", now);
+        return;
+    }
+    requeue(job, task, now);
+}
+
+void WorkDesk::requeue(Job &job, Task &task, MonotonicTime now)
+{
+    task.phase = Phase::Queued;
+    ++job.queued;
+    enqueue(job, now);
+}
+
+void WorkDesk::finish(const std::string &jobId, WorkAnswer answer, const std::string &reason, MonotonicTime now)
+{
+    const Job job = std::move(jobs_.at(jobId));
+    jobs_.erase(jobId);
+    if (const auto place = places_.find(jobId); place != places_.end()) {
+        queue_.erase(place->second);
+        places_.erase(place);
+    }
+    withdrawRuns(jobId, now);
+    const bool isRejected = answer == WorkAnswer::Rejected;
+    const Milliseconds retryAfter = isRejected ? backlog() : Milliseconds(0);
+    for (const uint64_t token : job.tokens) {
+        jobsByToken_.erase(token);
+        CallAnswer each;
+        each.token = token;
+        each.answer = answer;
+        each.retryAfter = retryAfter;
+        each.problem = reason;
+        answers_.push_back(std::move(each));
+    }
+    const int elapsedMs = millisecondsBetween(job.arrivedAt, now);
+    out_.log(LogEvent::Level::Info,
+             "job_ended",
+             {{"request", job.requestId},
+              {"job", jobId},
+              {"queue", job.route.name},
+              {"answer", absl::StrCat(static_cast<int>(answer))},
+              {"reason", reason},
+              {"elapsed_ms", absl::StrCat(elapsedMs)},
+              {"begun", job.hasBegun ? "1" : "0"},
+              {"waiting_jobs", absl::StrCat(queue_.size())}});
+    out_.add(Observation{"job_seconds", job.route.name, reason, elapsedMs / 1000.0});
+}
+
+void WorkDesk::withdrawRuns(const std::string &jobId, MonotonicTime)
+{
+    const auto found = runsOf_.find(jobId);
+    if (found == runsOf_.end()) {
+        return;
+    }
+    for (const int64_t number : found->second) {
+        Run &run = runs_.at(number);
+        if (!run.isWithdrawn) {
+            run.isWithdrawn = true;
+            directory_.withdraw(run.agent, run.session, number);
+        }
+    }
+}
+
+Milliseconds WorkDesk::backlog() const
+{
+    double waitingMs = 0;
+    for (const Place &place : queue_) {
+        const Job &job = jobs_.at(place.jobId);
+        waitingMs += std::accumulate(job.steps.begin(), job.steps.end(), 0.0, [](double sum, const Step &step) {
+            return sum + static_cast<double>(step.expected.count()) * step.left * step.wanted.demand.cpuMillis;
+        });
+    }
+    double capacity = 1;
+    for (const auto &[agent, view] : directory_.views()) {
+        capacity += view.state.capacity.cpuMillis;
+    }
+    const Milliseconds wait(static_cast<int64_t>(waitingMs / capacity));
+    return std::clamp(wait, LeastRetryAfter, MostRetryAfter);
+}
+
+void WorkDesk::rejectWaiting(MonotonicTime now)
+{
+    std::vector<std::string> waiting;
+    for (const auto &[id, job] : jobs_) {
+        if (!job.hasBegun) {
+            waiting.push_back(id);
+        }
+    }
+    for (const std::string &id : waiting) {
+        finish(id, WorkAnswer::Rejected, "stopping", now);
+    }
+}
+
+void WorkDesk::interruptAll(MonotonicTime now)
+{
+    while (!jobs_.empty()) {
+        const std::string id = jobs_.begin()->first;
+        finish(id, jobs_.begin()->second.hasBegun ? WorkAnswer::Interrupted : WorkAnswer::Rejected, "stopping", now);
+    }
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/work_desk.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/operator_memory.h"
+#include "request/run_time_book.h"
+#include "request/work_types.h"
+#include "request/worker_directory.h"
+#include "request/worker_health.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marjoramferry {
+
+struct DeskOptions
+{
+    /** An agent may have runs wait for room up to this share of the worker, so that none stands idle. */
+    double overcommit = 0.1;
+    Milliseconds patience{250}; ///< A run that waits longer for room at its agent comes back.
+    /** Of the time that a caller waits, this share may pass before a job that has not begun is rejected. */
+    double waitShare = 0.35;
+    Milliseconds defaultDeadline{3000}; ///< For callers that do not say how long they wait.
+    int overdueFactor = 3; ///< A task that runs this many times as long as expected is started elsewhere.
+    Milliseconds overdueLeast{150}; ///< And at least this much longer.
+    double retryShare = 0.1; ///< Starts elsewhere of overdue tasks, of all starts.
+    uint64_t seed = 1;
+};
+
+/**
+ * The jobs that this entry holds: who waits, who is refused, and where each task goes.
+ *
+ * A job that can be in time goes before those that can't any more, the one with the least time to
+ * spare first. A job is rejected only while nothing of it has been sent to a worker.
+ */
+class WorkDesk
+{
+public:
+    WorkDesk(DeskOptions options, WorkerDirectory &directory);
+
+    void submit(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now);
+
+    /** Stops a job at its caller's word; false if there is no such job. */
+    bool cancel(const std::string &jobId, MonotonicTime now);
+    bool knows(const std::string &jobId) const;
+    void abandon(uint64_t token, MonotonicTime now);
+    int pending(const std::string &route) const;
+
+    void noteEnd(const std::string &agent, const wire::RunEnd &end, MonotonicTime now);
+
+    /** All runs at the agent of sessions below @p session are gone. */
+    void loseRuns(const std::string &agent, int64_t session, MonotonicTime now);
+
+    /** Sends what fits to workers, rejects what can't be served. */
+    void advance(const OperatorMemory &operators, MonotonicTime now);
+
+    /** Answers all that has not begun, since the process stops. */
+    void rejectWaiting(MonotonicTime now);
+
+    /** Stops and answers everything, since the process ends. */
+    void interruptAll(MonotonicTime now);
+
+    bool isEmpty() const
+    {
+        return jobs_.empty();
+    }
+
+    std::vector<EntryCommand> takeCommands()
+    {
+        return out_.take();
+    }
+
+    std::vector<CallAnswer> takeAnswers()
+    {
+        return std::exchange(answers_, {});
+    }
+
+private:
+    enum class Phase { Queued, Ordered, Done };
+
+    struct Task
+    {
+        Phase phase = Phase::Queued;
+        int64_t attempt = 0;
+        int failures = 0;
+        std::vector<std::string> avoid; ///< Workers that failed it or took too long.
+    };
+
+    struct Step
+    {
+        WorkStep wanted;
+        std::vector<Task> tasks;
+        int left = 0; ///< Tasks that have not ended.
+        Milliseconds expected{0}; ///< Run time of a task on a middling worker.
+    };
+
+    struct Job
+    {
+        std::string id;
+        std::string requestId;
+        std::vector<uint64_t> tokens; ///< Calls that wait for the answer.
+        wire::Route route;
+        std::string spec;
+        std::vector<Step> steps;
+        MonotonicTime arrivedAt;
+        MonotonicTime startBy; ///< Begun later than this it is late.
+        MonotonicTime rejectAt; ///< Not begun by then it is rejected.
+        MonotonicTime deadlineAt;
+        int queued = 0; ///< Tasks to be sent to a worker.
+        int left = 0;
+        bool hasBegun = false;
+    };
+
+    struct Run
+    {
+        std::string jobId;
+        int step = 0;
+        int task = 0;
+        std::string agent;
+        std::string worker;
+        int64_t session = 0;
+        MonotonicTime orderedAt;
+        MonotonicTime overdueAt;
+        bool isWithdrawn = false;
+    };
+
+    /** Order in the queue. */
+    struct Place
+    {
+        bool isLate = false;
+        MonotonicTime startBy;
+        std::string jobId;
+
+        auto operator<=>(const Place &) const = default;
+    };
+
+    Place placeOf(const Job &job, MonotonicTime now) const;
+    void enqueue(Job &job, MonotonicTime now);
+    void rejectHopeless(MonotonicTime now);
+    void placeTasks(const OperatorMemory &operators, MonotonicTime now);
+    bool placeJob(Job &job, const OperatorMemory &operators, MonotonicTime now);
+    bool isReady(const Job &job, const Step &step) const;
+    WorkerView *chooseWorker(
+        const Job &job, const Step &step, const Task &task, const OperatorMemory &operators, MonotonicTime now);
+    void sendTask(Job &job, int step, int task, WorkerView &view, MonotonicTime now);
+    MonotonicTime overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt) const;
+    void withdrawOverdue(MonotonicTime now);
+    void
+    endRun(int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now);
+    void taskDone(Job &job, const Run &run, int ranMs);
+    void taskFailed(Job &job, const Run &run, MonotonicTime now);
+    void requeue(Job &job, Task &task, MonotonicTime now);
+    void finish(const std::string &jobId, WorkAnswer answer, const std::string &reason, MonotonicTime now);
+    void withdrawRuns(const std::string &jobId, MonotonicTime now);
+    Milliseconds backlog() const;
+
+    const DeskOptions options_;
+    WorkerDirectory &directory_;
+    RunTimeBook book_;
+    WorkerHealth health_;
+    std::mt19937_64 random_;
+    absl::flat_hash_map<std::string, Job> jobs_;
+    std::map<int64_t, Run> runs_;
+    absl::flat_hash_map<std::string, absl::flat_hash_set<int64_t>> runsOf_; ///< By job, also of ended jobs.
+    absl::flat_hash_map<uint64_t, std::string> jobsByToken_;
+    std::set<Place> queue_;
+    absl::flat_hash_map<std::string, Place> places_;
+    int64_t lastRun_ = 0;
+    double retryBudget_ = 5;
+    EntryOutbox out_;
+    std::vector<CallAnswer> answers_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/work_types.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/demand.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** Jobs whose tasks share workers, as callers hand them in and get them answered. */
+namespace marjoramferry {
+
+/** Tasks of one kind that may run once the steps before them have ended. */
+struct WorkStep
+{
+    int count = 0;
+    Demand demand; ///< Of each task.
+    Milliseconds estimate{0}; ///< The caller's guess of one task's run time.
+    std::vector<int> after; ///< Indices of the steps that must have ended.
+    std::string requiredLabel; ///< Only workers with this label; empty for any.
+    std::string preferredLabel; ///< Workers with this label run the tasks faster; empty for none.
+    int mostPerWorker = 0; ///< 0 for no bound.
+
+    bool operator==(const WorkStep &) const = default;
+};
+
+struct WorkJob
+{
+    std::string spec; ///< Handed to the worker with each task; only the worker reads it.
+    std::vector<WorkStep> steps;
+    std::string unsupported; ///< Names what the job asks for that is not served; empty if there is nothing.
+
+    bool operator==(const WorkJob &) const = default;
+};
+
+/** Where a call was sent: the queue is the longest route that fits, the rest of the path names the job. */
+struct CallAddress
+{
+    uint64_t token = 0; ///< Names the call until it is answered.
+    std::string host;
+    std::string path;
+    std::string requestId; ///< The caller's name of the call, for the logs.
+};
+
+struct SubmitWork
+{
+    CallAddress address;
+    Milliseconds deadline{0}; ///< How long the caller waits; 0 if it does not say.
+    WorkJob job;
+};
+
+struct AskJob
+{
+    CallAddress address;
+};
+
+struct CancelWork
+{
+    CallAddress address;
+};
+
+/** The caller of an unanswered call has gone. */
+struct CallAbandoned
+{
+    uint64_t token = 0;
+};
+
+enum class WorkAnswer {
+    Complete,
+    Failed,
+    Active, ///< The job is known and has not ended.
+    Cancelled, ///< The cancelling was taken.
+    Pending, ///< The count of jobs that wait in the queue is in `pending`.
+    Rejected, ///< Nothing of the job ran or will run; come back later.
+    NotReady, ///< No configuration is known here yet; nothing ran.
+    Unsupported, ///< The job asks for something that is not served; nothing ran.
+    UnknownQueue,
+    UnknownJob,
+    Malformed,
+    Interrupted, ///< What ran was stopped; the same job may be sent again.
+};
+
+struct CallAnswer
+{
+    uint64_t token = 0;
+    WorkAnswer answer = WorkAnswer::Rejected;
+    Milliseconds retryAfter{0};
+    int pending = 0;
+    std::string problem; ///< What was wrong, for the caller.
+    bool closes = false; ///< The connection is not to be used again.
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/worker_directory.cpp
@@ -0,0 +1,207 @@
+#include "request/worker_directory.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace marjoramferry {
+
+WorkerDirectory::WorkerDirectory(std::string entry, std::string incarnation, DirectoryTimes times)
+    : entry_(std::move(entry))
+    , incarnation_(std::move(incarnation))
+    , times_(times)
+{
+}
+
+std::optional<AgentNews> WorkerDirectory::take(LinkId link, const wire::AgentBatch &batch, MonotonicTime now)
+{
+    WorkerView &view = views_[batch.agent];
+    const bool isNew = view.incarnation != batch.incarnation;
+    if (!isNew && batch.sentAtUs < view.heardUs) {
+        return std::nullopt;
+    }
+    if (isNew) {
+        out_.log(LogEvent::Level::Info,
+                 "agent_met",
+                 {{"agent", batch.agent}, {"incarnation", batch.incarnation}, {"before", view.incarnation}});
+        view.agent = batch.agent;
+        view.incarnation = batch.incarnation;
+        view.isCleared = false;
+        beginSession(view);
+    }
+    if (view.link != link) {
+        agents_.erase(view.link);
+        agents_[link] = batch.agent;
+        view.link = link;
+        view.instructions.repeat();
+        view.operatorSent = 0;
+        view.sentAt = MonotonicTime();
+    }
+    AgentNews news;
+    news.agent = batch.agent;
+    view.heardAt = now;
+    view.heardUs = batch.sentAtUs;
+    view.isLeaving = batch.leaving;
+    view.operatorPosition = batch.operatorPosition;
+    if (batch.__isset.worker) {
+        view.state = batch.worker;
+    }
+    if (batch.cleared && !view.isCleared) {
+        view.isCleared = true;
+        news.clearedBelow = view.session;
+    }
+    if (batch.entryIncarnation == incarnation_ && batch.session == view.session) {
+        view.isGivenUp = false;
+        view.instructions.acknowledge(batch.acknowledged);
+        const size_t known = view.ends.countKnown(batch.firstSequence, batch.ends.size());
+        news.ends.assign(batch.ends.begin() + static_cast<std::ptrdiff_t>(known), batch.ends.end());
+        std::erase_if(view.unseen, [&](const auto &each) { return each.first <= batch.acknowledged; });
+    }
+    updateRoom(view);
+    if (batch.__isset.operatorState) {
+        news.operatorState = batch.operatorState;
+    }
+    return news;
+}
+
+void WorkerDirectory::beginSession(WorkerView &view)
+{
+    view.session = ++lastSession_;
+    view.instructions = {};
+    view.ends = {};
+    view.acknowledgedToAgent = 0;
+    view.unseen.clear();
+    view.operatorSent = 0;
+}
+
+void WorkerDirectory::updateRoom(WorkerView &view)
+{
+    view.room = fromWire(view.state.unclaimed);
+    for (const auto &[number, demand] : view.unseen) {
+        view.room = view.room - demand;
+    }
+}
+
+void WorkerDirectory::close(LinkId link)
+{
+    const auto found = agents_.find(link);
+    if (found == agents_.end()) {
+        return;
+    }
+    WorkerView &view = views_[found->second];
+    out_.log(LogEvent::Level::Warning, "agent_disconnected", {{"agent", view.agent}});
+    view.link = LocalLink;
+    agents_.erase(found);
+}
+
+std::vector<AgentGivenUp> WorkerDirectory::giveUpSilent(MonotonicTime now)
+{
+    std::vector<AgentGivenUp> silent;
+    for (auto &[agent, view] : views_) {
+        const bool isSuspect = !isUsable(view, now);
+        if (isSuspect != view.wasSuspect) {
+            view.wasSuspect = isSuspect;
+            out_.log(LogEvent::Level::Info,
+                     isSuspect ? "agent_out_of_use" : "agent_in_use",
+                     {{"agent", agent},
+                      {"worker", view.state.worker},
+                      {"heard_ms_ago", absl::StrCat(millisecondsBetween(view.heardAt, now))},
+                      {"takes_runs", view.state.takesRuns ? "1" : "0"},
+                      {"leaving", view.isLeaving ? "1" : "0"}});
+        }
+        if (view.isGivenUp || now - view.heardAt <= times_.giveUp) {
+            continue;
+        }
+        view.isGivenUp = true;
+        beginSession(view);
+        updateRoom(view);
+        out_.log(LogEvent::Level::Warning,
+                 "agent_given_up",
+                 {{"agent", agent}, {"heard_ms_ago", absl::StrCat(millisecondsBetween(view.heardAt, now))}});
+        silent.push_back(AgentGivenUp{agent, view.session});
+    }
+    return silent;
+}
+
+void WorkerDirectory::order(WorkerView &view, wire::RunOrder order)
+{
+    const Demand demand = fromWire(order.demand);
+    wire::RunInstruction instruction;
+    instruction.__set_order(std::move(order));
+    view.instructions.add(std::move(instruction));
+    view.unseen.emplace_back(view.instructions.lastNumber(), demand);
+    view.isGivenUp = false;
+    updateRoom(view);
+}
+
+void WorkerDirectory::withdraw(const std::string &agent, int64_t session, int64_t runNumber)
+{
+    const auto found = views_.find(agent);
+    if (found == views_.end() || found->second.session != session) {
+        return;
+    }
+    wire::RunInstruction instruction;
+    wire::RunWithdrawal withdrawal;
+    withdrawal.runNumber = runNumber;
+    instruction.__set_withdrawal(withdrawal);
+    found->second.instructions.add(std::move(instruction));
+}
+
+bool WorkerDirectory::isUsable(const WorkerView &view, MonotonicTime now) const
+{
+    return view.link != LocalLink && view.state.takesRuns && !view.isLeaving && now - view.heardAt <= times_.suspect;
+}
+
+void WorkerDirectory::send(const OperatorMemory &operators,
+                           const std::vector<std::string> &entries,
+                           bool wantsOperatorState,
+                           bool isLeaving,
+                           MonotonicTime now)
+{
+    const bool hasNewEntries = entries != entriesSent_;
+    entriesSent_ = entries;
+    for (auto &[agent, view] : views_) {
+        if (view.link == LocalLink) {
+            continue;
+        }
+        const int64_t position = operators.state().position;
+        const bool owesState = view.operatorPosition < position && view.operatorSent < position;
+        const bool isDue = now - view.sentAt >= times_.beat;
+        if (view.instructions.hasUnsent() || owesState || isDue || hasNewEntries
+            || view.acknowledgedToAgent != view.ends.last()) {
+            sendTo(view, operators, entries, wantsOperatorState, isLeaving, now);
+        }
+    }
+}
+
+void WorkerDirectory::sendTo(WorkerView &view,
+                             const OperatorMemory &operators,
+                             const std::vector<std::string> &entries,
+                             bool wantsOperatorState,
+                             bool isLeaving,
+                             MonotonicTime now)
+{
+    wire::EntryBatch batch;
+    batch.entry = entry_;
+    batch.incarnation = incarnation_;
+    batch.session = view.session;
+    batch.agentIncarnation = view.incarnation;
+    batch.echoedUs = view.heardUs;
+    batch.firstSequence = view.instructions.nextNumber();
+    batch.instructions = view.instructions.takeUnsent();
+    batch.acknowledged = view.ends.last();
+    batch.operatorPosition = operators.state().position;
+    if (view.operatorPosition < batch.operatorPosition && view.operatorSent < batch.operatorPosition) {
+        view.operatorSent = batch.operatorPosition;
+        batch.__set_operatorState(operators.state());
+    }
+    batch.entries = entries;
+    batch.wantsOperatorState = wantsOperatorState;
+    batch.leaving = isLeaving;
+    view.acknowledgedToAgent = batch.acknowledged;
+    view.sentAt = now;
+    out_.add(SendToLink{view.link, std::move(batch)});
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/tests/platform/store_test.cpp
@@ -0,0 +1,87 @@
+#include "platform/operator_rows.h"
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramferry;
+using namespace marjoramferry::platform;
+
+namespace {
+
+HttpResult answered(int status, const std::string &body)
+{
+    return HttpResult{HttpOutcome::Answered, status, body, ""};
+}
+
+std::string configuration(int version, const std::string &service)
+{
+    return R"({"version":)" + std::to_string(version)
+        + R"(,"routes":[{"name":"r","host":"h","path-prefix":"/p/","service":")" + service
+        + R"(","priority":2,"max-attempts":3,"stretch":1.6,"target-latency-ms":60},{"name":"no host"}]})";
+}
+
+StoreRow row(const std::string &key, const std::string &value, int64_t version, bool isDeleted = false)
+{
+    return StoreRow{OperatorTable, key, value, version, isDeleted};
+}
+
+} // namespace
+
+TEST_CASE("Answers of the store keep their kinds apart")
+{
+    const auto outcome
+        = [](int status, const std::string &body) { return readStoreAnswer(answered(status, body)).outcome; };
+    CHECK(outcome(200, R"({"ver":3})") == StoreOutcome::Done);
+    CHECK(outcome(200, "{}") == StoreOutcome::Malformed);
+    CHECK(outcome(410, "") == StoreOutcome::HistoryGone);
+    CHECK(outcome(412, "") == StoreOutcome::Conflict);
+    CHECK(outcome(429, "") == StoreOutcome::Refused);
+    CHECK(outcome(503, "") == StoreOutcome::Refused);
+    CHECK(readStoreAnswer(HttpResult{}).outcome == StoreOutcome::Unanswered);
+}
+
+TEST_CASE("Rows are decoded, and rows that are none are left out")
+{
+    const StoreAnswer answer = readStoreAnswer(answered(
+        200,
+        R"({"ver":9,"has-more":true,"rows":[{"table":"op","key":"config","value":"aGk=","ver":4},)"
+        R"({"table":"op","key":"k","deleted":true,"ver":5},{"table":"op","key":"bad","value":"!","ver":6},"..."]})"));
+    CHECK(answer.hasMore);
+    CHECK(answer.version == 9);
+    CHECK(answer.rows == std::vector<StoreRow>{row("config", "hi", 4), row("k", "", 5, true)});
+}
+
+TEST_CASE("A configuration is read; routes that are none are left out")
+{
+    const auto state = readConfiguration(configuration(7, "orders"));
+    REQUIRE(state);
+    CHECK(state->configurationVersion == 7);
+    REQUIRE(state->routes.size() == 1);
+    CHECK(state->routes[0].pathPrefix == "/p/");
+    CHECK(state->routes[0].maxAttempts == 3);
+    CHECK_FALSE(readConfiguration("{}"));
+    CHECK_FALSE(readConfiguration("garbage"));
+}
+
+TEST_CASE("The operator's rows never go back, whatever order they come in")
+{
+    OperatorRows rows;
+    CHECK(rows.replace({row("config", configuration(7, "new"), 20)}, 30));
+    CHECK_FALSE(rows.replace({row("config", configuration(6, "old"), 10)}, 25));
+    rows.update({row("config", configuration(6, "old"), 31)}, 31);
+    CHECK(rows.state().configurationVersion == 7);
+    rows.update({row("config", "garbage", 32)}, 32);
+    CHECK(rows.state().routes.at(0).serviceName == "new");
+}
+
+TEST_CASE("An evacuation holds until its row is deleted, also when the history is gone")
+{
+    OperatorRows rows;
+    rows.update({row("evacuate/north", "{}", 3)}, 3);
+    CHECK(rows.state().evacuatedDomains == std::vector<std::string>{"north"});
+    rows.update({row("evacuate/north", "", 4, true)}, 4);
+    CHECK(rows.state().evacuatedDomains.empty());
+    rows.update({row("evacuate/south", "{}", 5)}, 5);
+    CHECK(rows.replace({}, 9));
+    CHECK(rows.state().evacuatedDomains.empty());
+}
--- /dev/null
+++ b/tests/platform/worker_face_test.cpp
@@ -0,0 +1,58 @@
+#include "platform/worker_face.h"
+
+#include <catch2/catch.hpp>
+
+#include <nlohmann/json.hpp>
+
+using namespace marjoramferry;
+using namespace marjoramferry::platform;
+
+namespace {
+
+const nlohmann::json Whole = {{"service", "orders"},
+                              {"addr", "10.0.0.1:80"},
+                              {"zone", "north"},
+                              {"state", "ready"},
+                              {"capacity", {{"cpu", 16000}, {"mem-mb", 512}, {"gpu", 0}}},
+                              {"labels", {"a", 7, "r1"}},
+                              {"clock-ms", 99},
+                              {"born", 1234},
+                              {"seq", 4}};
+
+HttpRequest put(const std::string &body)
+{
+    return HttpRequest{1, "PUT", "/api/instances/i-1", body, {}};
+}
+
+} // namespace
+
+TEST_CASE("An announcement is read, and labels that are none are left out")
+{
+    const WorkerWord word = readWorkerWord(put(Whole.dump()));
+    const auto &announcement = std::get<WorkerAnnouncement>(word);
+    CHECK(announcement.identity == WorkerIdentity{"i-1", 1234});
+    CHECK(announcement.capacity == Demand{16000, 512, 0});
+    CHECK(announcement.labels == std::vector<std::string>{"a", "r1"});
+    CHECK_FALSE(announcement.leaving);
+}
+
+TEST_CASE("An announcement with a field missing or of another type names no worker")
+{
+    for (const char *field : {"service", "addr", "zone", "state", "capacity", "seq"}) {
+        nlohmann::json without = Whole;
+        without.erase(field);
+        CHECK(std::holds_alternative<HttpReply>(readWorkerWord(put(without.dump()))));
+        nlohmann::json wrong = Whole;
+        wrong[field] = nlohmann::json::array();
+        CHECK(std::holds_alternative<HttpReply>(readWorkerWord(put(wrong.dump()))));
+    }
+    CHECK(std::holds_alternative<HttpReply>(readWorkerWord(put("\xff\xfe"))));
+    CHECK(std::holds_alternative<HttpReply>(readWorkerWord(put("[]"))));
+}
+
+TEST_CASE("A worker that ends says so by its name")
+{
+    const WorkerWord word = readWorkerWord(HttpRequest{1, "DELETE", "/api/instances/i-1", "", {}});
+    CHECK(std::get<WorkerDeparture>(word).id == "i-1");
+    CHECK(std::holds_alternative<HttpReply>(readWorkerWord(HttpRequest{1, "GET", "/other", "", {}})));
+}
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -247,6 +247,154 @@
     5: list<StartRecord> records,
 }
 
+/** What a run takes of its worker while it is there. */
+struct Demand {
+    /** In thousandths of a core. */
+    1: i32 cpuMillis = 0,
+    2: i32 memoryMb = 0,
+    3: i32 accelerators = 0,
+}
+
+/** The worker beside an agent, as an entry needs to know it. */
+struct WorkerState {
+    /** Empty while no worker has announced itself. */
+    1: string worker,
+    2: string serviceName,
+    3: string domain,
+    4: list<string> labels,
+    5: Demand capacity,
+    /** Capacity less all that runs, starts, stops, waits here or can't be told. */
+    6: Demand unclaimed,
+    /** Takes new runs: synchronised, answering and not about to leave. */
+    7: bool takesRuns = false,
+    /** The runs that wait here for room, in thousandths of a core. */
+    8: i32 waitingCpuMillis = 0,
+    /** How long the worker has been silent towards its agent, in milliseconds. */
+    9: i32 silentMs = 0,
+    /** Of two workers said to be beside an agent the one born later is there. Unix milliseconds. */
+    10: i64 bornMs = 0,
+}
+
+/** Entry to agent: have one task run, once. The entry numbers its runs. */
+struct RunOrder {
+    1: i64 runNumber,
+    2: string jobId,
+    3: i32 stepIndex,
+    4: i32 taskIndex,
+    /** Grows with each start of the task. */
+    5: i32 attempt,
+    6: string spec,
+    7: Demand demand,
+    /** Runs that wait for room at the agent start in ascending order of this. */
+    8: i64 rank = 0,
+    /** A run that could not be started within this time is given back. */
+    9: i32 patienceMs = 0,
+    /** The request that the run belongs to, for the logs. */
+    10: string requestId,
+}
+
+/** Entry to agent: stop the run, or drop it if it waits. Its end is reported as ever. */
+struct RunWithdrawal {
+    1: i64 runNumber,
+}
+
+union RunInstruction {
+    1: RunOrder order,
+    2: RunWithdrawal withdrawal,
+}
+
+enum RunOutcome {
+    DONE = 0,
+    /** It failed by its own or its worker's fault. */
+    FAILED = 1,
+    /** It never began, and can't begin any more. */
+    NOT_STARTED = 2,
+    /** It may have begun and is not there any more. */
+    GONE = 3,
+}
+
+/** Agent to entry: how a run ended. */
+struct RunEnd {
+    1: i64 runNumber,
+    2: RunOutcome outcome,
+    /** Why, in a word, for logs and for the choice of the next worker. */
+    3: string reason,
+    /** From the worker's word that it began to its word that it ended, in milliseconds. */
+    4: i32 ranMs = 0,
+}
+
+/** One queue of jobs: the calls that it takes and what it promises. */
+struct Route {
+    1: string name,
+    2: string host,
+    3: string pathPrefix,
+    4: string serviceName,
+    5: i32 timeoutMs = 0,
+    6: i32 targetLatencyMs = 0,
+    /** 0 comes first. */
+    7: i32 priority = 0,
+    8: i32 maxAttempts = 1,
+    /** How many times its own work a job may take and still be in time. */
+    9: double stretch = 1.0,
+}
+
+/** All that the operators ask for, as of one version. */
+struct OperatorState {
+    /** Where it was read: a position in the history of changes that only grows. */
+    1: i64 position = 0,
+    /** The operators' own number of the configuration. 0: none is known. */
+    2: i64 configurationVersion = 0,
+    3: list<Route> routes,
+    4: list<string> evacuatedDomains,
+    5: i32 maxBodyBytes = 0,
+}
+
+/**
+ * Entry to agent, over and over. Instructions are numbered from 1 in each session; those from
+ * firstSequence on are in here. What was said before is repeated until it is acknowledged.
+ */
+struct EntryBatch {
+    1: string entry,
+    2: string incarnation,
+    /** Grows when the entry has given up all it asked of this agent. */
+    3: i64 session = 0,
+    /** The agent that is meant. */
+    4: string agentIncarnation,
+    /** The newest sentAtUs that the entry has had from the agent: proof of how old this batch can be. */
+    5: i64 echoedUs = 0,
+    6: i64 firstSequence = 0,
+    7: i64 acknowledged = 0,
+    8: list<RunInstruction> instructions,
+    9: i64 operatorPosition = 0,
+    10: optional OperatorState operatorState,
+    /** Addresses of the entries that this one knows, when they changed. */
+    11: list<string> entries,
+    /** The entry can't reach the store of the operators' word and asks the agent to read it. */
+    12: bool wantsOperatorState = false,
+    /** The entry stops and takes no more work. */
+    13: bool leaving = false,
+}
+
+/** Agent to entry, over and over; numbered like EntryBatch. */
+struct AgentBatch {
+    1: string agent,
+    2: string incarnation,
+    /** The entry and session that the numbers belong to; empty and 0 before the first EntryBatch. */
+    3: string entryIncarnation,
+    4: i64 session = 0,
+    /** The agent's monotonic clock at sending, in microseconds. */
+    5: i64 sentAtUs = 0,
+    6: i64 firstSequence = 0,
+    7: i64 acknowledged = 0,
+    8: list<RunEnd> ends,
+    9: optional WorkerState worker,
+    10: i64 operatorPosition = 0,
+    11: optional OperatorState operatorState,
+    /** All runs of earlier incarnations of the agent are gone from its worker. */
+    12: bool cleared = false,
+    13: bool leaving = false,
+}
+
 /** Exactly one field is set. */
 union Envelope {
     1: SubmitJob submitJob,
@@ -259,4 +407,6 @@
     8: Fence fence,
     9: StartRecords startRecords,
     10: ResolveTasks resolveTasks,
+    11: EntryBatch entryBatch,
+    12: AgentBatch agentBatch,
 }
