--- a/request/work_types.h
+++ b/request/work_types.h
@@ -87,7 +87,7 @@
     WorkAnswer answer = WorkAnswer::Rejected;
     Milliseconds retryAfter{0};
     int pending = 0;
-    std::string problem; ///< What was wrong, for the caller.
+    std::string problem{}; ///< What was wrong, for the caller.
     bool closes = false; ///< The connection is not to be used again.
 };
 
--- a/request/worker_health.cpp
+++ b/request/worker_health.cpp
@@ -18,7 +18,8 @@
 
 void WorkerHealth::noteSuccess(const std::string &worker, MonotonicTime now)
 {
-    records_[worker] = Record{.succeededAt = now};
+    Record &record = records_[worker] = Record();
+    record.succeededAt = now;
 }
 
 void WorkerHealth::noteFailure(const std::string &worker, MonotonicTime now)
--- /dev/null
+++ b/tests/promises/shared_workers_test.cpp
@@ -0,0 +1,144 @@
+#include "tests/support/work_world.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace marjoramferry;
+using namespace marjoramferry::testing;
+
+namespace {
+
+enum class WorkFault {
+    KillEntry,
+    KillAgent,
+    DrainAgent,
+    FreezeEntry,
+    FreezeAgent,
+    CutBoth,
+    CutToAgent,
+    CutToEntry,
+    RestartWorker,
+    RenewWorker,
+    Stall
+};
+
+struct PlannedFault
+{
+    WorkFault kind = WorkFault::KillEntry;
+    int atMs = 0;
+    int entry = 0;
+    int agent = 0;
+    int spanMs = 0;
+};
+
+std::ostream &operator<<(std::ostream &out, const PlannedFault &fault)
+{
+    return out << "fault " << static_cast<int>(fault.kind) << " at " << fault.atMs << " entry " << fault.entry
+               << " agent " << fault.agent << " for " << fault.spanMs;
+}
+
+rc::Gen<PlannedFault> anyFault()
+{
+    return rc::gen::build<PlannedFault>(
+        rc::gen::set(&PlannedFault::kind,
+                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(WorkFault::Stall) + 1),
+                                  [](int kind) { return static_cast<WorkFault>(kind); })),
+        rc::gen::set(&PlannedFault::atMs, rc::gen::inRange(0, 4000)),
+        rc::gen::set(&PlannedFault::entry, rc::gen::inRange(0, 3)),
+        rc::gen::set(&PlannedFault::agent, rc::gen::inRange(0, 5)),
+        rc::gen::set(&PlannedFault::spanMs, rc::gen::inRange(50, 4000)));
+}
+
+void strike(WorkWorld &world, const PlannedFault &fault)
+{
+    const Milliseconds span(fault.spanMs);
+    switch (fault.kind) {
+    case WorkFault::KillEntry:
+        return world.killEntry(fault.entry, span);
+    case WorkFault::KillAgent:
+        return world.killAgent(fault.agent, span);
+    case WorkFault::DrainAgent:
+        return world.drainAgent(fault.agent);
+    case WorkFault::FreezeEntry:
+        return world.freezeEntry(fault.entry, span);
+    case WorkFault::FreezeAgent:
+        return world.freezeAgent(fault.agent, span);
+    case WorkFault::CutBoth:
+        return world.cut(fault.entry, fault.agent, true, true, span);
+    case WorkFault::CutToAgent:
+        return world.cut(fault.entry, fault.agent, true, false, span);
+    case WorkFault::CutToEntry:
+        return world.cut(fault.entry, fault.agent, false, true, span);
+    case WorkFault::RestartWorker:
+        return world.restartWorker(fault.agent, true);
+    case WorkFault::RenewWorker:
+        return world.restartWorker(fault.agent, false);
+    case WorkFault::Stall:
+        world.worker(fault.agent).isStuck = true;
+        return world.after(span, [&world, fault] { world.worker(fault.agent).isStuck = false; });
+    }
+}
+
+/** A counter's load: small wide jobs, and long narrow ones, at any entry. */
+void load(WorkWorld &world, int jobs, int paceMs, uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    for (int i = 0; i < jobs; ++i) {
+        const int kind = static_cast<int>(random() % 3);
+        const int tasks = kind == 0 ? 8 : (kind == 1 ? 4 : 2);
+        const int runMs = kind == 0 ? 60 : (kind == 1 ? 700 : 200);
+        const int entry = static_cast<int>(random() % 3);
+        world.after(Milliseconds(i * paceMs), [=, &world] {
+            world.submit(absl::StrCat("job-", i), tasks, runMs, 6200, entry, Milliseconds(3000));
+        });
+    }
+}
+
+} // namespace
+
+TEST_CASE("On a calm day every job is complete")
+{
+    WorkWorld world(WorldOptions{});
+    world.runFor(Milliseconds(500));
+    load(world, 100, 40, 1);
+    world.runFor(Milliseconds(12'000));
+    CHECK(absl::StrJoin(world.violations(), "\n").empty());
+    CHECK(world.complete() == 100);
+}
+
+TEST_CASE("Late orders never make a task run twice at once or overfill a worker")
+{
+    WorldOptions options;
+    options.lateOrders = 0.1;
+    WorkWorld world(options);
+    world.runFor(Milliseconds(500));
+    load(world, 200, 80, 2); // Three fifths of what the workers can do.
+    world.runFor(Milliseconds(20'000));
+    CHECK(absl::StrJoin(world.violations(), "\n").empty());
+    CHECK(world.complete() == 200);
+}
+
+TEST_CASE("No task runs twice at once, no worker is overfilled and no answer is false under any faults")
+{
+    const bool holds = rc::check("faults", [] {
+        const auto count = *rc::gen::inRange<size_t>(1, 8);
+        const auto faults = *rc::gen::container<std::vector<PlannedFault>>(count, anyFault());
+        WorldOptions options;
+        options.seed = *rc::gen::arbitrary<uint32_t>();
+        options.lateOrders = *rc::gen::element(0.0, 0.08);
+        WorkWorld world(options);
+        world.runFor(Milliseconds(500));
+        load(world, 120, *rc::gen::element(15, 40), options.seed);
+        for (const PlannedFault &fault : faults) {
+            world.after(Milliseconds(fault.atMs), [&world, fault] { strike(world, fault); });
+        }
+        world.runFor(Milliseconds(14'000));
+        const auto broken = world.violations();
+        if (!broken.empty()) {
+            RC_FAIL(absl::StrJoin(broken, "\n"));
+        }
+    });
+    CHECK(holds);
+}
