Run the real programs under random faults on loopback

Stand-ins for the platform's store and workers, and a soak that kills, pauses and restarts processes, harms links through proxies and breaks store and workers, and checks from callers and workers that no task runs twice at once, no worker is overfilled, no answer is false, and that the system heals.

--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -46,6 +46,12 @@
     return MHD_YES;
 }
 
+MHD_Result keepArgument(void *context, MHD_ValueKind, const char *name, const char *value)
+{
+    (*static_cast<std::map<std::string, std::string> *>(context))[name] = value == nullptr ? "" : value;
+    return MHD_YES;
+}
+
 } // namespace
 
 class HttpServer::Impl
@@ -228,6 +234,9 @@
     exchange->connection = connection;
     exchange->request.method = method;
     exchange->request.path = url;
+    if (options_.keepsQuery) {
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &keepArgument, &exchange->request.query);
+    }
     if (!options_.headers.empty()) {
         std::pair<const std::vector<std::string> &, std::map<std::string, std::string> &> kept(
             options_.headers, exchange->request.headers);
--- a/connection/http_server.h
+++ b/connection/http_server.h
@@ -18,6 +18,7 @@
     size_t maxBodyBytes = 4U << 20U;
     unsigned connectionLimit = 4000;
     std::vector<std::string> headers; ///< Lower-case names of the request headers to keep.
+    bool keepsQuery = false; ///< Whether the arguments behind the path are kept.
     std::function<void(uint64_t token)> onAbandoned; ///< The caller of a waiting request has gone. May be empty.
 };
 
--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -104,23 +104,24 @@
     return settings;
 }
 
-/** Seeds are known by any of their addresses; their links listen on the same port as everybody's. */
-std::vector<std::string> readSeeds(IniFile &ini, const std::string &section, const std::string &linkPort)
+/**
+ * Addresses of the links of some entries. Where seed_port is set, the seeds are known by another of
+ * their addresses, and their links listen on that port.
+ */
+std::vector<std::string> readSeeds(IniFile &ini, const std::string &section)
 {
-    std::vector<std::string> seeds;
+    constexpr long MostPort = 65'535;
+    const long port = ini.number(section, "seed_port", 0, 0, MostPort);
     const std::string list = ini.text(section, "seeds", "");
+    std::vector<std::string> seeds;
     for (const absl::string_view each : absl::StrSplit(list, ',', absl::SkipWhitespace())) {
-        const absl::string_view host = absl::StripAsciiWhitespace(each.substr(0, each.find(':')));
-        seeds.push_back(absl::StrCat(host, ":", linkPort));
+        const absl::string_view address = absl::StripAsciiWhitespace(each);
+        const absl::string_view host = address.substr(0, address.find(':'));
+        seeds.push_back(port == 0 ? std::string(address) : absl::StrCat(host, ":", port));
     }
     return seeds;
 }
 
-std::string portOf(const std::string &address)
-{
-    return address.substr(address.rfind(':') + 1);
-}
-
 WorkEntrySettings readWorkEntry(IniFile &ini)
 {
     constexpr const char *Section = "work_entry";
@@ -135,8 +136,8 @@
     settings.metricsListen = ini.address(Section, "metrics_listen");
     settings.linkListen = ini.address(Section, "link_listen");
     settings.maxBodyBytes = ini.bytes(Section, "max_body", settings.maxBodyBytes);
-    options.linkAddress = settings.linkListen;
-    options.seeds = readSeeds(ini, Section, portOf(settings.linkListen));
+    options.linkAddress = ini.text(Section, "link_address", settings.linkListen);
+    options.seeds = readSeeds(ini, Section);
     options.grace = ini.duration(Section, "grace", options.grace);
     options.drainAccept = ini.duration(Section, "drain_accept", options.drainAccept);
     options.directory.beat = ini.duration(Section, "beat", options.directory.beat);
@@ -160,9 +161,7 @@
     settings.logLevel = readLogLevel(ini);
     settings.httpListen = ini.address(Section, "http_listen");
     settings.metricsListen = ini.address(Section, "metrics_listen");
-    constexpr long MostPort = 65'535;
-    const long linkPort = ini.number(Section, "entry_port", 0, 1, MostPort);
-    options.seeds = readSeeds(ini, Section, std::to_string(linkPort));
+    options.seeds = readSeeds(ini, Section);
     options.grace = ini.duration(Section, "grace", options.grace);
     options.beat = ini.duration(Section, "beat", options.beat);
     options.entryLapse = ini.duration(Section, "entry_lapse", options.entryLapse);
@@ -184,10 +183,10 @@
 {
     IniFile ini(path);
     const std::string role = ini.require("process", "role");
-    static const std::map<std::string, Reader> Readers = {
+    static const std::map<std::string, Reader> readers = {
         {"entry", &readEntry}, {"agent", &readAgent}, {"work-entry", &readWorkEntry}, {"work-agent", &readWorkAgent}};
-    const auto reader = Readers.find(role);
-    if (reader == Readers.end()) {
+    const auto reader = readers.find(role);
+    if (reader == readers.end()) {
         throw Error(ErrorKind::Settings,
                     "[process] role",
                     "\"" + role + "\" is no role",
--- a/request/entry_core.h
+++ b/request/entry_core.h
@@ -43,6 +43,7 @@
     std::string path;
     std::string body;
     std::map<std::string, std::string> headers; ///< Those that the server was asked to keep, by their lower-case names.
+    std::map<std::string, std::string> query; ///< If the server was asked to keep it.
 };
 
 struct LinkMessage
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -55,6 +55,8 @@
 {
     WorkerKeeper::Output output = keeper_.take();
     for (const EndedRun &ended : output.ends) {
+        out_.emplace_back(Observation{
+            "run_seconds", wire::_RunOutcome_VALUES_TO_NAMES.at(ended.outcome), ended.reason, ended.ranMs / 1000.0});
         const auto owner = std::ranges::find_if(entries_, [&](const auto &each) {
             return each.second.incarnation == ended.tag.entry && each.second.session == ended.tag.session;
         });
--- a/request/work_desk.cpp
+++ b/request/work_desk.cpp
@@ -322,7 +322,7 @@
               {"agent", view.agent},
               {"room_cpu_millis", absl::StrCat(view.room.cpuMillis)},
               {"state_age_ms", absl::StrCat(millisecondsBetween(view.heardAt, now))}});
-    directory_.order(view, std::move(order));
+    directory_.order(view, order);
     runsOf_[job.id].insert(lastRun_);
     runs_[lastRun_] = std::move(run);
     retryBudget_ = std::min(MostRetryBudget, retryBudget_ + options_.retryShare);
@@ -501,7 +501,7 @@
              {{"request", job.requestId},
               {"job", jobId},
               {"queue", job.route.name},
-              {"answer", absl::StrCat(static_cast<int>(answer))},
+              {"answer", answerName(answer)},
               {"reason", reason},
               {"elapsed_ms", absl::StrCat(elapsedMs)},
               {"begun", job.hasBegun ? "1" : "0"},
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -154,7 +154,7 @@
         "call_answered",
         {{"request", address.requestId},
          {"path", address.path},
-         {"answer", absl::StrCat(static_cast<int>(answer))},
+         {"answer", answerName(answer)},
          {"reason", problem},
          {"version", absl::StrCat(operators_.state().configurationVersion)}});
     out_.emplace_back(std::move(result));
@@ -204,6 +204,9 @@
         desk_.loseRuns(each.agent, each.clearedBelow, now);
     }
     introduce(now);
+    if (storeHeardAt_ == MonotonicTime()) {
+        storeHeardAt_ = now; // The wait for its first word begins now.
+    }
     if (isStoreDoubtful(now) != wasStoreDoubtful_) {
         wasStoreDoubtful_ = !wasStoreDoubtful_;
         log(LogEvent::Level::Warning,
--- a/request/work_types.h
+++ b/request/work_types.h
@@ -81,6 +81,9 @@
     Interrupted, ///< What ran was stopped; the same job may be sent again.
 };
 
+/** The answer in a word, for logs and metrics. */
+const char *answerName(WorkAnswer answer);
+
 struct CallAnswer
 {
     uint64_t token = 0;
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -124,11 +124,11 @@
     return silent;
 }
 
-void WorkerDirectory::order(WorkerView &view, wire::RunOrder order)
+void WorkerDirectory::order(WorkerView &view, const wire::RunOrder &order)
 {
     const Demand demand = fromWire(order.demand);
     wire::RunInstruction instruction;
-    instruction.__set_order(std::move(order));
+    instruction.__set_order(order);
     view.instructions.add(std::move(instruction));
     view.unseen.emplace_back(view.instructions.lastNumber(), demand);
     view.isGivenUp = false;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -79,7 +79,7 @@
     /** Finds agents that were silent for too long, and begins a new session with them. */
     std::vector<AgentGivenUp> giveUpSilent(MonotonicTime now);
 
-    void order(WorkerView &view, wire::RunOrder order);
+    void order(WorkerView &view, const wire::RunOrder &order);
     void withdraw(const std::string &agent, int64_t session, int64_t runNumber);
 
     /** Sends what is due to each agent. */
--- a/standins/endpoint_standin.cpp
+++ b/standins/endpoint_standin.cpp
@@ -1,5 +1,6 @@
 #include "standins/endpoint_standin.h"
 
+#include "core/clock.h"
 #include "core/error.h"
 #include "request/job_json.h"
 #include "version/json_fields.h"
@@ -21,12 +22,6 @@
 constexpr Milliseconds AnnouncePace{500};
 constexpr Milliseconds AnnounceTimeout{1000};
 
-int64_t wallMilliseconds()
-{
-    const auto wall = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Milliseconds>(wall).count();
-}
-
 HttpServerOptions serverOptions(const std::string &listenAddress)
 {
     HttpServerOptions options;
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -1,5 +1,7 @@
 #include "core/error.h"
 #include "standins/endpoint_standin.h"
+#include "standins/platform_store.h"
+#include "standins/platform_worker.h"
 #include "standins/table_standin.h"
 
 #include <boost/program_options.hpp>
@@ -7,6 +9,7 @@
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <map>
 
 namespace options = boost::program_options;
 using namespace marjoramferry;
@@ -43,17 +46,47 @@
     return 0;
 }
 
+int runStore(const options::variables_map &arguments)
+{
+    const PlatformStoreStandin store(arguments["listen"].as<std::string>());
+    while (!stopping) {
+        std::this_thread::sleep_for(Milliseconds(50));
+    }
+    return 0;
+}
+
+int runWorker(const options::variables_map &arguments)
+{
+    PlatformWorkerOptions worker;
+    worker.listenAddress = arguments["listen"].as<std::string>();
+    worker.agentAddress = arguments["agent"].as<std::string>();
+    worker.name = arguments["name"].as<std::string>();
+    worker.service = arguments["service"].as<std::string>();
+    worker.domain = arguments["domain"].as<std::string>();
+    worker.runLog = arguments["start-log"].as<std::string>();
+    worker.cpuMillis = arguments["cpu-millis"].as<int>();
+    PlatformWorkerStandin standin(worker);
+    standin.run([] { return stopping.load(); });
+    return 0;
+}
+
+using Runner = int (*)(const options::variables_map &);
+const std::map<std::string, Runner> runners
+    = {{"table", &runTable}, {"endpoint", &runEndpoint}, {"store", &runStore}, {"worker", &runWorker}};
+
 } // namespace
 
 int main(int argc, char **argv)
 {
-    options::options_description description("marjoramferry-standin table|endpoint [options]");
-    description.add_options()("kind", options::value<std::string>(), "table or endpoint")(
+    options::options_description description("marjoramferry-standin table|endpoint|store|worker [options]");
+    description.add_options()("kind", options::value<std::string>(), "table, endpoint, store or worker")(
         "listen", options::value<std::string>()->required(), "host:port to listen on")(
         "agent", options::value<std::string>()->default_value(""), "HTTP face of the agent")(
         "name", options::value<std::string>()->default_value("endpoint"), "name of the endpoint")(
         "service", options::value<std::string>()->default_value("orders"), "service of the endpoint")(
         "slots", options::value<int>()->default_value(8), "tasks at once")(
+        "domain", options::value<std::string>()->default_value("north"), "failure domain of the worker")(
+        "cpu-millis", options::value<int>()->default_value(32'000), "thousandths of a core of the worker")(
         "start-log", options::value<std::string>()->default_value(""), "file for the starts");
     options::positional_options_description positions;
     positions.add("kind", 1);
@@ -66,13 +99,10 @@
                        arguments);
         options::notify(arguments);
         const std::string kind = arguments.count("kind") != 0 ? arguments["kind"].as<std::string>() : std::string();
-        if (kind == "table") {
-            return runTable(arguments);
-        }
-        if (kind == "endpoint") {
-            return runEndpoint(arguments);
+        if (const auto runner = runners.find(kind); runner != runners.end()) {
+            return runner->second(arguments);
         }
-        std::cerr << "name a stand-in: table or endpoint\n" << description;
+        std::cerr << "name a stand-in: table, endpoint, store or worker\n" << description;
         return 2;
     } catch (const options::error &error) {
         std::cerr << error.what() << "\n" << description;
--- /dev/null
+++ b/standins/platform_store.cpp
@@ -0,0 +1,184 @@
+#include "standins/platform_store.h"
+
+#include "core/clock.h"
+
+#include <utility>
+
+namespace marjoramferry {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusMalformed = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusGone = 410;
+constexpr int StatusConflict = 412;
+constexpr int StatusLost = 500;
+constexpr int StatusOutage = 503;
+/** How often a feed that waits looks for changes. */
+constexpr Milliseconds FeedPace{10};
+
+HttpServerOptions serverOptions(const std::string &listenAddress)
+{
+    HttpServerOptions options;
+    options.listenAddress = listenAddress;
+    options.keepsQuery = true;
+    return options;
+}
+
+json renderRow(const std::pair<std::string, std::string> &name,
+               const std::string &value,
+               int64_t version,
+               bool isDeleted)
+{
+    json row = {{"table", name.first}, {"part", ""}, {"key", name.second}, {"ver", version}};
+    if (isDeleted) {
+        row["deleted"] = true;
+    } else {
+        row["value"] = value;
+    }
+    return row;
+}
+
+std::string argument(const HttpRequest &request, const std::string &name)
+{
+    const auto found = request.query.find(name);
+    return found == request.query.end() ? std::string("0") : found->second;
+}
+
+} // namespace
+
+PlatformStoreStandin::PlatformStoreStandin(const std::string &listenAddress)
+    : http_(
+        serverOptions(listenAddress),
+        [this](const HttpRequest &request) { return onRequest(request); },
+        [](const HttpRequest &) { return std::nullopt; })
+{
+}
+
+bool PlatformStoreStandin::onRequest(const HttpRequest &request)
+{
+    HttpReply reply;
+    Milliseconds latency{0};
+    try {
+        absl::MutexLock lock(&mutex_);
+        const bool isServing = !faults_.outage;
+        if (request.path == "/api/rows-feed" && isServing) {
+            const int64_t after = std::stoll(argument(request, "after"));
+            const Milliseconds wait(std::stoll(argument(request, "wait-ms")));
+            delayed_.after(faults_.latency, [this, request, after, until = monotonicNow() + wait] {
+                follow(request.token, argument(request, "table"), after, until);
+            });
+            return true;
+        }
+        reply = answer(request);
+        latency = request.path == "/faults" ? Milliseconds(0) : faults_.latency;
+    } catch (const std::exception &error) {
+        reply = HttpReply{0, StatusMalformed, json{{"error", error.what()}}.dump()};
+    }
+    reply.token = request.token;
+    delayed_.after(latency, [this, reply] { http_.reply(reply); });
+    return true;
+}
+
+HttpReply PlatformStoreStandin::answer(const HttpRequest &request)
+{
+    if (request.path == "/faults") {
+        setFaults(json::parse(request.body));
+        return HttpReply{0, StatusOk, "{}"};
+    }
+    if (faults_.outage) {
+        return HttpReply{0, StatusOutage, "{}"};
+    }
+    if (request.path == "/api/rows-tx") {
+        return transact(json::parse(request.body));
+    }
+    if (request.path == "/api/rows-get") {
+        return read(argument(request, "table"));
+    }
+    return HttpReply{0, StatusNotFound, "{}"};
+}
+
+HttpReply PlatformStoreStandin::transact(const json &body)
+{
+    for (const json &condition : body.at("expected-rev")) {
+        const auto found = rows_.find({condition.at("table"), condition.at("key")});
+        const bool isThere = found != rows_.end() && !found->second.isDeleted;
+        if (condition.at("ver").get<int64_t>() != (isThere ? found->second.version : 0)) {
+            return HttpReply{0, StatusConflict, json{{"ver", version_}, {"rows", json::array()}}.dump()};
+        }
+    }
+    ++version_;
+    for (const json &write : body.at("writes")) {
+        rows_[{write.at("table"), write.at("key")}] = StoredRow{write.at("value"), version_, false};
+    }
+    for (const json &removal : body.at("remove")) {
+        rows_[{removal.at("table"), removal.at("key")}] = StoredRow{"", version_, true};
+    }
+    const int status = faults_.losesAnswers ? StatusLost : StatusOk;
+    return HttpReply{0, status, json{{"ver", version_}}.dump()};
+}
+
+HttpReply PlatformStoreStandin::read(const std::string &table)
+{
+    json rows = json::array();
+    for (const auto &[name, row] : rows_) {
+        if (name.first == table && !row.isDeleted) {
+            rows.push_back(renderRow(name, row.value, row.version, false));
+        }
+    }
+    return HttpReply{0, StatusOk, json{{"rows", rows}, {"has-more", false}, {"ver", version_}}.dump()};
+}
+
+json PlatformStoreStandin::changes(const std::string &table, int64_t after)
+{
+    std::map<int64_t, json> changed;
+    for (const auto &[name, row] : rows_) {
+        if (name.first == table && row.version > after) {
+            changed[row.version].push_back(renderRow(name, row.value, row.version, row.isDeleted));
+        }
+    }
+    json rows = json::array();
+    for (const auto &[version, each] : changed) {
+        rows.insert(rows.end(), each.begin(), each.end());
+    }
+    return rows;
+}
+
+void PlatformStoreStandin::follow(uint64_t token, const std::string &table, int64_t after, MonotonicTime until)
+{
+    HttpReply reply;
+    reply.token = token;
+    {
+        absl::MutexLock lock(&mutex_);
+        const json rows = changes(table, after);
+        if (faults_.outage) {
+            reply.status = StatusOutage;
+            reply.body = "{}";
+        } else if (after < faults_.forgottenBelow) {
+            reply.status = StatusGone;
+            reply.body = "{}";
+        } else if (!rows.empty() || monotonicNow() >= until) {
+            reply.body = json{{"rows", rows}, {"ver", version_}}.dump();
+        } else {
+            delayed_.after(FeedPace, [=, this] { follow(token, table, after, until); });
+            return;
+        }
+    }
+    http_.reply(reply);
+}
+
+void PlatformStoreStandin::setFaults(const json &body)
+{
+    faults_.latency = Milliseconds(body.value("latency_ms", 0));
+    faults_.outage = body.value("outage", false);
+    faults_.losesAnswers = body.value("lose_answers", false);
+    if (body.value("forget", false)) {
+        faults_.forgottenBelow = version_ + 1;
+        ++version_;
+    }
+}
+
+} // namespace marjoramferry
--- a/tests/platform/worker_face_test.cpp
+++ b/tests/platform/worker_face_test.cpp
@@ -21,7 +21,7 @@
 
 HttpRequest put(const std::string &body)
 {
-    return HttpRequest{1, "PUT", "/api/instances/i-1", body, {}};
+    return HttpRequest{1, "PUT", "/api/instances/i-1", body, {}, {}};
 }
 
 } // namespace
@@ -52,7 +52,7 @@
 
 TEST_CASE("A worker that ends says so by its name")
 {
-    const WorkerWord word = readWorkerWord(HttpRequest{1, "DELETE", "/api/instances/i-1", "", {}});
+    const WorkerWord word = readWorkerWord(HttpRequest{1, "DELETE", "/api/instances/i-1", "", {}, {}});
     CHECK(std::get<WorkerDeparture>(word).id == "i-1");
-    CHECK(std::holds_alternative<HttpReply>(readWorkerWord(HttpRequest{1, "GET", "/other", "", {}})));
+    CHECK(std::holds_alternative<HttpReply>(readWorkerWord(HttpRequest{1, "GET", "/other", "", {}, {}})));
 }
--- a/tests/support/virtual_system.cpp
+++ b/tests/support/virtual_system.cpp
@@ -535,7 +535,7 @@
     if (node.core) {
         submissionOf_[++lastToken_] = index;
         entryOf_[lastToken_] = entry;
-        toEntry(entry, node.life, HttpRequest{lastToken_, "POST", "/v1/jobs", submission.body});
+        toEntry(entry, node.life, HttpRequest{lastToken_, "POST", "/v1/jobs", submission.body, {}, {}});
     }
     return index;
 }
@@ -543,7 +543,7 @@
 uint64_t VirtualSystem::call(int entry, const std::string &method, const std::string &path, const std::string &body)
 {
     const uint64_t token = ++lastToken_;
-    toEntry(entry, entries_[static_cast<size_t>(entry)].life, HttpRequest{token, method, path, body});
+    toEntry(entry, entries_[static_cast<size_t>(entry)].life, HttpRequest{token, method, path, body, {}, {}});
     return token;
 }
 
