Keep runs that a restarted worker took before its restart was noticed

A worker started again under its old name; a start reached its new life before the agent heard of it, and the agent then took all its runs for gone, that one too. Ruled out: the entry's bounds and a lapsed lease; the agent's log shows GONE (worker_restarted) while the new life listed the run. Change: a new life of the same name ends nothing by itself. Its first listing under a higher fence tells what is there. The time after which an entry gives an agent up covers the platform's longest lease, since the first call in a new life may get it.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -47,7 +47,10 @@
         pipe = {"up": 0.0, "down": 0.0, "delay": 0.0, "writers": (writer, far_writer)}
         self.pipes.add(id(pipe))
         PIPES[id(pipe)] = (self, pipe)
-        await asyncio.gather(self.pump(pipe, "up", reader, far_writer), self.pump(pipe, "down", far_reader, writer))
+        try:
+            await asyncio.gather(self.pump(pipe, "up", reader, far_writer), self.pump(pipe, "down", far_reader, writer))
+        except asyncio.CancelledError:
+            pass  # The run ends.
         PIPES.pop(id(pipe), None)
 
     async def pump(self, pipe, direction, reader, writer):
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -19,9 +19,10 @@
     Milliseconds suspect{450}; ///< No task goes to an agent that was silent for so long.
     /**
      * After so long a silence nothing that this entry asked for can be on the worker: the agent stops it
-     * within its entry lapse, or, should it have died or stalled, the worker's lease runs out after that.
+     * within its entry lapse (700 ms), or, should it have died or stalled, the worker's lease runs out
+     * after that (1,000 ms at most by the platform, on a clock that may be 2% slow), and a stop takes 50 ms.
      */
-    Milliseconds giveUp{1600};
+    Milliseconds giveUp{1850};
 };
 
 /** A worker and its agent, as this entry sees them. */
--- a/request/worker_keeper.cpp
+++ b/request/worker_keeper.cpp
@@ -65,11 +65,18 @@
             {{"worker", announcement.identity.id}, {"sequence", absl::StrCat(announcement.sequence)}});
         return;
     }
-    if (!isSame) {
+    if (announcement.identity.id != worker_->identity.id) {
         loseAll("worker_replaced", now);
         adopt(announcement, now);
         return;
     }
+    if (!isSame) {
+        beginLife(announcement.identity.bornMs, now);
+        worker_ = announcement;
+        lease_.noteClock(announcement.clockMs, now);
+        sendHold(Milliseconds(0), false, now);
+        return;
+    }
     if (announcement.leaving != worker_->leaving) {
         log(LogEvent::Level::Info,
             "worker_leaving",
@@ -81,6 +88,29 @@
     startWaiting(now);
 }
 
+/**
+ * The worker started again under its old name. What ran before is gone, but calls since then may have
+ * reached the new life: which runs are there is told by its first listing under a higher fence.
+ */
+void WorkerKeeper::beginLife(int64_t bornMs, MonotonicTime now)
+{
+    log(LogEvent::Level::Warning,
+        "worker_restarted",
+        {{"worker", worker_->identity.id}, {"born_ms", absl::StrCat(bornMs)}, {"runs", absl::StrCat(runs_.size())}});
+    worker_->identity.bornMs = bornMs;
+    worker_->sequence = 0;
+    lifeNoticedAt_ = now;
+    announcedAt_ = now;
+    answeredAt_ = now;
+    lease_.reset();
+    endsSeen_ = 0;
+    endsAcknowledged_ = 0;
+    settledFence_ = 0;
+    raiseFence(fence_ + 1);
+    requiredFence_ = fence_;
+    isSettled_ = false;
+}
+
 void WorkerKeeper::adopt(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     worker_ = announcement;
@@ -220,6 +250,17 @@
 
 void WorkerKeeper::reply(const WorkerReply &reply, MonotonicTime now)
 {
+    const int64_t bornMs = reply.listing ? reply.listing->bornMs : 0;
+    const bool isOfOtherLife
+        = worker_ && bornMs != 0 && worker_->identity.bornMs != 0 && bornMs != worker_->identity.bornMs;
+    if (isOfOtherLife && bornMs < worker_->identity.bornMs) {
+        holds_.erase(reply.callId);
+        watch(now);
+        return;
+    }
+    if (isOfOtherLife) {
+        beginLife(bornMs, now);
+    }
     if (reply.clockMs) {
         lease_.noteClock(*reply.clockMs, now);
     }
@@ -335,18 +376,6 @@
     if (!worker_) {
         return;
     }
-    if (listing.bornMs != 0 && worker_->identity.bornMs != 0 && listing.bornMs != worker_->identity.bornMs) {
-        if (listing.bornMs < worker_->identity.bornMs) {
-            return;
-        }
-        // The worker started again under its old name, and knows nothing of before.
-        loseAll("worker_restarted", now);
-        WorkerAnnouncement again = *worker_;
-        again.identity.bornMs = listing.bornMs;
-        again.sequence = 0;
-        adopt(again, now);
-        return;
-    }
     for (const ListedEnd &end : listing.ended) {
         if (end.number > endsSeen_) {
             onEnd(end, now);
@@ -401,7 +430,9 @@
         }
     }
     for (const auto &[key, outcome] : absent) {
-        finish(key, outcome, outcome == wire::RunOutcome::GONE ? "not_listed" : "fenced_off", now);
+        const bool wasBefore = runs_.at(key).confirmedAt < lifeNoticedAt_;
+        const char *why = wasBefore ? "worker_restarted" : "not_listed";
+        finish(key, outcome, outcome == wire::RunOutcome::GONE ? why : "fenced_off", now);
     }
 }
 
--- a/request/worker_keeper.h
+++ b/request/worker_keeper.h
@@ -138,6 +138,7 @@
     };
 
     void adopt(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void beginLife(int64_t bornMs, MonotonicTime now);
     void loseAll(const std::string &reason, MonotonicTime now);
     void startWaiting(MonotonicTime now);
     void refuseOverdue(MonotonicTime now);
@@ -162,6 +163,7 @@
 
     const WorkerTiming timing_;
     std::optional<WorkerAnnouncement> worker_;
+    MonotonicTime lifeNoticedAt_; ///< When this agent learnt that the worker had restarted.
     MonotonicTime announcedAt_;
     MonotonicTime answeredAt_;
     WorkerLease lease_;
--- a/tests/request/worker_keeper_test.cpp
+++ b/tests/request/worker_keeper_test.cpp
@@ -101,15 +101,17 @@
         keeper.take();
     }
 
-    /** Has a run started and confirmed; returns the hold that watches it. */
+    /** Has a run started and confirmed; returns a hold that was sent after that. */
     HoldRuns run(const RunRequest &request, MonotonicTime now)
     {
         keeper.request(request, now);
         const Calls calls(keeper.take());
         REQUIRE(calls.starts.size() == 1);
         keeper.reply(accepted(calls.starts[0].callId), now);
-        const Calls after(keeper.take());
-        return calls.holds.empty() ? after.holds.at(0) : calls.holds.at(0);
+        const Calls confirmed(keeper.take());
+        const HoldRuns first = calls.holds.empty() ? confirmed.holds.at(0) : calls.holds.at(0);
+        keeper.reply(listed(first.callId, {request.key}), now + Milliseconds(1));
+        return Calls(keeper.take()).holds.at(0);
     }
 };
 
@@ -145,7 +147,7 @@
 {
     Settled settled;
     WorkerKeeper &keeper = settled.keeper;
-    settled.run(runRequest("a", 1, 9000), Start);
+    const HoldRuns watch = settled.run(runRequest("a", 1, 9000), Start);
     keeper.request(runRequest("c", 3, 9000), Start);
     keeper.request(runRequest("b", 2, 9000), Start);
     CHECK(Calls(keeper.take()).starts.empty());
@@ -155,7 +157,7 @@
     CHECK(stopping.starts.empty());
 
     keeper.tick(Start + Milliseconds(10));
-    keeper.reply(listed(3, {}, {{1, {"a", 0, 0, 1}, EndKind::Stopped}}), Start + Milliseconds(20));
+    keeper.reply(listed(watch.callId, {}, {{1, {"a", 0, 0, 1}, EndKind::Stopped}}), Start + Milliseconds(20));
     const Calls after(keeper.take());
     REQUIRE(after.starts.size() == 1);
     CHECK(after.starts[0].key.jobId == "b");
@@ -234,6 +236,62 @@
     CHECK_FALSE(keeper.isCleared());
 }
 
+TEST_CASE("A run that a restarted worker took before its restart was noticed is kept")
+{
+    Settled settled;
+    WorkerKeeper &keeper = settled.keeper;
+    const HoldRuns hold = settled.run(runRequest("before", 1, 4000), Start);
+    // The worker starts again here; the next start reaches its new life under the same name.
+    keeper.request(runRequest("after", 2, 4000), Start + Milliseconds(50));
+    const Calls calls(keeper.take());
+    REQUIRE(calls.starts.size() == 1);
+    keeper.reply(accepted(calls.starts[0].callId), Start + Milliseconds(51));
+    keeper.take();
+
+    SECTION("a listing of the new life shows it")
+    {
+        keeper.reply(listed(hold.callId, {{"after", 0, 0, 1}}, {}, 8), Start + Milliseconds(60));
+    }
+    SECTION("an announcement of the new life comes first")
+    {
+        keeper.announce(announcement(1, 8), Start + Milliseconds(55));
+        const Calls look(keeper.take());
+        CHECK(look.ends.empty());
+        REQUIRE(look.holds.size() == 1);
+        keeper.reply(listed(look.holds[0].callId, {{"after", 0, 0, 1}}, {}, 8), Start + Milliseconds(60));
+    }
+    const Calls news(keeper.take());
+    REQUIRE(news.ends.size() == 1);
+    CHECK(news.ends[0].tag.number == 1);
+    CHECK(news.ends[0].outcome == wire::RunOutcome::GONE);
+    CHECK(news.stops.empty());
+    CHECK(keeper.state(Start).unclaimed.cpuMillis == 12'000);
+}
+
+TEST_CASE("A start that was under way when the worker restarted is settled by a higher fence")
+{
+    Settled settled;
+    WorkerKeeper &keeper = settled.keeper;
+    keeper.request(runRequest("a", 1), Start);
+    const Calls first(keeper.take());
+    REQUIRE(first.starts.size() == 1);
+    keeper.announce(announcement(1, 8), Start + Milliseconds(5));
+    const Calls second(keeper.take());
+    CHECK(second.ends.empty());
+    REQUIRE(second.holds.size() == 1);
+    CHECK(second.holds[0].fence > FirstFence);
+    keeper.reply(unanswered(first.starts[0].callId), Start + Milliseconds(150));
+    keeper.reply(listed(second.holds[0].callId, {}, {}, 8), Start + Milliseconds(151));
+    Calls third(keeper.take());
+    if (third.ends.empty()) {
+        const auto last = third.holds.back();
+        keeper.reply(listed(last.callId, {}, {}, 8), Start + Milliseconds(152));
+        third = Calls(keeper.take());
+    }
+    REQUIRE(third.ends.size() == 1);
+    CHECK(third.ends[0].outcome == wire::RunOutcome::NOT_STARTED);
+}
+
 TEST_CASE("A late announcement of an earlier life of the worker changes nothing")
 {
     Settled settled;
