Pace words of room by the number of entries, and spread entries over workers

Change: an agent tells an entry that asked for nothing at most every 3 ms times the number of entries; what seldom changes is sent once a connection; each entry likes other workers (a hash of both names); a step of a queue's priority counts as 100 ms of urgency; a stopping entry takes every job that it has time to finish.

--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -139,7 +139,7 @@
     options.linkAddress = ini.text(Section, "link_address", settings.linkListen);
     options.seeds = readSeeds(ini, Section);
     options.grace = ini.duration(Section, "grace", options.grace);
-    options.drainAccept = ini.duration(Section, "drain_accept", options.drainAccept);
+    options.drainLeast = ini.duration(Section, "drain_least", options.drainLeast);
     options.directory.beat = ini.duration(Section, "beat", options.directory.beat);
     options.directory.suspect = ini.duration(Section, "suspect", options.directory.suspect);
     options.directory.giveUp = ini.duration(Section, "give_up", options.directory.giveUp);
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -219,6 +219,7 @@
     }
     out_.emplace_back(ResetPeer{address});
     entry.dialledAt = now;
+    entry.stateSent = {};
     entry.ends.repeat();
     send(address, entry, now);
 }
@@ -249,6 +250,12 @@
     }
 }
 
+Milliseconds WorkAgent::sharePause() const
+{
+    const auto connected = std::ranges::count_if(entries_, [](const auto &each) { return each.second.isConnected; });
+    return options_.shareRoom * connected;
+}
+
 void WorkAgent::sendDue(const std::string &address, Entry &entry, MonotonicTime now)
 {
     if (!entry.isConnected) {
@@ -257,9 +264,9 @@
     const bool owes = entry.ends.hasUnsent() || entry.acknowledgedToEntry != entry.instructions.last();
     const bool hasNews
         = entry.operatorPosition < operators_.state().position && entry.operatorSent < operators_.state().position;
-    const bool canShare = now - entry.sentAt >= options_.shareState;
+    const bool canShare = now - entry.sentAt >= sharePause();
     const bool isDue = now - entry.sentAt >= options_.beat;
-    if (owes || hasNews || isDue || (canShare && keeper_.state(now) != entry.stateSent)) {
+    if (owes || hasNews || isDue || (canShare && keeper_.room() != entry.roomSent)) {
         send(address, entry, now);
     }
 }
@@ -275,8 +282,12 @@
     batch.acknowledged = entry.instructions.last();
     batch.firstSequence = entry.ends.nextNumber();
     batch.ends = entry.ends.takeUnsent();
-    entry.stateSent = keeper_.state(now);
-    batch.__set_worker(entry.stateSent);
+    batch.room = keeper_.room();
+    entry.roomSent = batch.room;
+    if (wire::WorkerState state = keeper_.state(); state != entry.stateSent) {
+        entry.stateSent = state;
+        batch.__set_worker(state);
+    }
     batch.operatorPosition = operators_.state().position;
     if (entry.isConnected && entry.operatorPosition < batch.operatorPosition
         && entry.operatorSent < batch.operatorPosition) {
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -22,7 +22,11 @@
     WorkerTiming worker;
     Milliseconds beat{150}; ///< Each entry hears from this agent at least so often.
     Milliseconds entryLapse{700}; ///< Runs of an entry end when the agent has had no proof of its life for so long.
-    Milliseconds shareState{8}; ///< Least time between two words of changed room to an entry that asked for nothing.
+    /**
+     * Least time between two words of changed room to an entry that asked for nothing, for each entry
+     * connected. All entries together cost an agent, and all agents an entry, at most so many messages.
+     */
+    Milliseconds shareRoom{3};
     Milliseconds redial{300}; ///< An entry that does not answer is dialled again after this, at first.
     Milliseconds redialMost{3000};
     Milliseconds membersPoll{1500}; ///< How often the list of entries is read while none answers.
@@ -101,7 +105,8 @@
         MonotonicTime sentAt;
         MonotonicTime dialledAt;
         Milliseconds redial{0};
-        wire::WorkerState stateSent;
+        wire::WorkerState stateSent; ///< Over the present connection.
+        wire::WorkerRoom roomSent;
         bool isConnected = false; ///< It has answered over the present connection.
         bool hasLapsed = true; ///< Its runs were withdrawn for want of proof that it lives.
     };
@@ -116,6 +121,7 @@
     void keepConnection(const std::string &address, Entry &entry, MonotonicTime now);
     void checkLife(Entry &entry, MonotonicTime now);
     void takeOperatorState(const wire::OperatorState &state);
+    Milliseconds sharePause() const;
     void distributeEnds();
     void sendDue(const std::string &address, Entry &entry, MonotonicTime now);
     void send(const std::string &address, Entry &entry, MonotonicTime now);
--- a/request/work_desk.cpp
+++ b/request/work_desk.cpp
@@ -23,6 +23,13 @@
 /** Most that retries of overdue tasks may be saved up. */
 constexpr double MostRetryBudget = 20;
 
+/**
+ * How much an entry's own liking of a worker counts, against run times relative to a middling worker.
+ * Each entry likes other workers, so that entries whose view of the room is a little old seldom
+ * choose the same one.
+ */
+constexpr double AffinityWeight = 0.4;
+
 /** The longest chain of expected run times through the steps. */
 Milliseconds longestChain(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &expected)
 {
@@ -48,6 +55,15 @@
 {
 }
 
+Milliseconds WorkDesk::expectedTime(const WorkJob &job, const wire::Route &route) const
+{
+    std::vector<Milliseconds> expected;
+    for (const WorkStep &step : job.steps) {
+        expected.push_back(book_.expect(route.name, step.estimate));
+    }
+    return longestChain(job.steps, expected);
+}
+
 void WorkDesk::submit(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now)
 {
     jobsByToken_[call.address.token] = jobId;
@@ -62,24 +78,23 @@
     job.tokens = {call.address.token};
     job.route = route;
     job.spec = call.job.spec;
-    std::vector<Milliseconds> expected;
     for (const WorkStep &wanted : call.job.steps) {
         Step step;
         step.wanted = wanted;
         step.tasks.resize(static_cast<size_t>(wanted.count));
         step.left = wanted.count;
         step.expected = book_.expect(route.name, wanted.estimate);
-        expected.push_back(step.expected);
         job.left += wanted.count;
         job.steps.push_back(std::move(step));
     }
     job.queued = job.left;
-    const Milliseconds chain = longestChain(call.job.steps, expected);
+    const Milliseconds chain = expectedTime(call.job, route);
     const Milliseconds wait = call.deadline.count() > 0 ? call.deadline : options_.defaultDeadline;
     const auto objective
         = std::chrono::duration_cast<Milliseconds>(chain * route.stretch) + Milliseconds(route.targetLatencyMs);
     job.arrivedAt = now;
     job.startBy = now + objective - chain;
+    job.urgency = job.startBy + options_.priorityStep * route.priority;
     job.deadlineAt = now + wait;
     job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(wait * options_.waitShare),
                             job.deadlineAt - AnswerMargin - chain);
@@ -98,7 +113,7 @@
 
 WorkDesk::Place WorkDesk::placeOf(const Job &job, MonotonicTime now) const
 {
-    return Place{!job.hasBegun && job.startBy < now, job.startBy, job.id};
+    return Place{!job.hasBegun && job.startBy < now, job.urgency, job.id};
 }
 
 void WorkDesk::enqueue(Job &job, MonotonicTime now)
@@ -176,10 +191,11 @@
     // Those that can't be in time any more move behind those that can.
     std::vector<Place> outdated;
     for (const Place &place : queue_) {
-        if (place.isLate || place.startBy >= now) {
+        const Job &job = jobs_.at(place.jobId);
+        if (place.isLate) {
             break;
         }
-        if (!jobs_.at(place.jobId).hasBegun) {
+        if (!job.hasBegun && job.startBy < now) {
             outdated.push_back(place);
         }
     }
@@ -271,7 +287,8 @@
         const bool isFar = !step.wanted.preferredLabel.empty()
             && std::ranges::find(state.labels, step.wanted.preferredLabel) == state.labels.end();
         const double slowness = book_.slowness(state.worker) * (isFar ? 1.5 : 1.0);
-        const double score = (fits ? 10 : 0) - slowness + 0.3 * roomShare + jitter(random_);
+        const double score
+            = (fits ? 10 : 0) - slowness + 0.3 * roomShare + AffinityWeight * view.affinity + jitter(random_);
         if (best == nullptr || score > bestScore) {
             best = &view;
             bestScore = score;
@@ -292,7 +309,7 @@
     ++task.attempt;
     --job.queued;
     job.hasBegun = true;
-    const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.startBy - now).count();
+    const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.urgency - now).count();
     wire::RunOrder order;
     order.runNumber = ++lastRun_;
     order.jobId = job.id;
@@ -302,7 +319,7 @@
     order.attempt = static_cast<int>(task.attempt);
     order.spec = job.spec;
     order.demand = toWire(step.wanted.demand);
-    order.rank = slackMs < 0 ? LateRankMs - slackMs : slackMs;
+    order.rank = job.startBy < now ? LateRankMs - slackMs : slackMs;
     order.patienceMs = static_cast<int>(options_.patience.count());
     Run run;
     run.jobId = job.id;
--- a/request/work_desk.h
+++ b/request/work_desk.h
@@ -28,6 +28,8 @@
     int overdueFactor = 3; ///< A task that runs this many times as long as expected is started elsewhere.
     Milliseconds overdueLeast{150}; ///< And at least this much longer.
     double retryShare = 0.1; ///< Starts elsewhere of overdue tasks, of all starts.
+    /** A job goes before another of the next lower priority that could start so much earlier. */
+    Milliseconds priorityStep{100};
     uint64_t seed = 1;
 };
 
@@ -35,7 +37,8 @@
  * The jobs that this entry holds: who waits, who is refused, and where each task goes.
  *
  * A job that can be in time goes before those that can't any more, the one with the least time to
- * spare first. A job is rejected only while nothing of it has been sent to a worker.
+ * spare first; a step of its queue's priority counts as so much time. A job is rejected only while nothing of it has
+ * been sent to a worker.
  */
 class WorkDesk
 {
@@ -44,6 +47,9 @@
 
     void submit(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now);
 
+    /** How long the job would run on free workers. */
+    Milliseconds expectedTime(const WorkJob &job, const wire::Route &route) const;
+
     /** Stops a job at its caller's word; false if there is no such job. */
     bool cancel(const std::string &jobId, MonotonicTime now);
     bool knows(const std::string &jobId) const;
@@ -108,6 +114,7 @@
         std::vector<Step> steps;
         MonotonicTime arrivedAt;
         MonotonicTime startBy; ///< Begun later than this it is late.
+        MonotonicTime urgency; ///< The order among waiting jobs: startBy, moved by the queue's priority.
         MonotonicTime rejectAt; ///< Not begun by then it is rejected.
         MonotonicTime deadlineAt;
         int queued = 0; ///< Tasks to be sent to a worker.
@@ -132,7 +139,7 @@
     struct Place
     {
         bool isLate = false;
-        MonotonicTime startBy;
+        MonotonicTime urgency;
         std::string jobId;
 
         auto operator<=>(const Place &) const = default;
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -12,6 +12,9 @@
 /** Between two introductions of this entry to those it knows from its settings. */
 constexpr Milliseconds IntroductionPause{1000};
 constexpr Milliseconds NotReadyRetryAfter{1000};
+/** A stopping entry takes a job only if there is time for it to run so many times as long as expected. */
+constexpr int DrainSafety = 2;
+constexpr Milliseconds DrainMargin{300};
 
 } // namespace
 
@@ -107,13 +110,19 @@
         answer(call.address, WorkAnswer::Unsupported, call.job.unsupported);
         return;
     }
-    if (drainingSince_ && now - *drainingSince_ > options_.drainAccept) {
+    if (drainingSince_ && !canFinish(call.job, *destination->route, now)) {
         answer(call.address, WorkAnswer::Rejected, "stopping");
         return;
     }
     desk_.submit(call, *destination->route, destination->jobId, now);
 }
 
+/** Whether a stopping entry has the time to see the job through. */
+bool WorkEntry::canFinish(const WorkJob &job, const wire::Route &route, MonotonicTime now) const
+{
+    return now + desk_.expectedTime(job, route) * DrainSafety + DrainMargin < *drainingSince_ + options_.grace;
+}
+
 void WorkEntry::onAsk(const AskJob &call)
 {
     const auto destination = find(call.address);
@@ -221,7 +230,7 @@
     if (elapsed > options_.grace) {
         desk_.interruptAll(now);
     }
-    if (desk_.isEmpty() && elapsed > options_.drainAccept) {
+    if (desk_.isEmpty() && elapsed > options_.drainLeast) {
         stopSent_ = true;
         out_.emplace_back(Stop{});
     }
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -24,7 +24,7 @@
     std::vector<std::string> seeds; ///< host:port of the links of some entries.
     DirectoryTimes directory;
     DeskOptions desk;
-    Milliseconds drainAccept{2500}; ///< A stopping entry still takes jobs for so long: callers keep connections.
+    Milliseconds drainLeast{3200}; ///< A stopping entry stays at least so long: callers keep connections.
     Milliseconds grace{5300}; ///< Time from the request to stop until the process ends whatever runs.
     Milliseconds storeDoubt{900}; ///< Without word of the store for so long, agents are asked to read it.
 };
@@ -90,6 +90,7 @@
     };
 
     void onSubmit(const SubmitWork &call, MonotonicTime now);
+    bool canFinish(const WorkJob &job, const wire::Route &route, MonotonicTime now) const;
     void onAsk(const AskJob &call);
     void onCancel(const CancelWork &call, MonotonicTime now);
     void onLinkMessage(const LinkMessage &event, MonotonicTime now);
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -1,12 +1,25 @@
 #include "request/worker_directory.h"
 
 #include <absl/strings/str_cat.h>
+#include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace marjoramferry {
 
+namespace {
+
+double affinityOf(const std::string &entry, const std::string &agent)
+{
+    const std::string both = absl::StrCat(entry, "/", agent);
+    const XXH64_hash_t hash = XXH64(both.data(), both.size(), 0);
+    return static_cast<double>(hash >> 32U) / static_cast<double>(std::numeric_limits<uint32_t>::max());
+}
+
+} // namespace
+
 WorkerDirectory::WorkerDirectory(std::string entry, std::string incarnation, DirectoryTimes times)
     : entry_(std::move(entry))
     , incarnation_(std::move(incarnation))
@@ -26,6 +39,7 @@
                  "agent_met",
                  {{"agent", batch.agent}, {"incarnation", batch.incarnation}, {"before", view.incarnation}});
         view.agent = batch.agent;
+        view.affinity = affinityOf(entry_, batch.agent);
         view.incarnation = batch.incarnation;
         view.isCleared = false;
         beginSession(view);
@@ -47,6 +61,7 @@
     if (batch.__isset.worker) {
         view.state = batch.worker;
     }
+    view.reported = batch.room;
     if (batch.cleared && !view.isCleared) {
         view.isCleared = true;
         news.clearedBelow = view.session;
@@ -77,7 +92,7 @@
 
 void WorkerDirectory::updateRoom(WorkerView &view)
 {
-    view.room = fromWire(view.state.unclaimed);
+    view.room = fromWire(view.reported.unclaimed);
     for (const auto &[number, demand] : view.unseen) {
         view.room = view.room - demand;
     }
@@ -107,7 +122,7 @@
                      {{"agent", agent},
                       {"worker", view.state.worker},
                       {"heard_ms_ago", absl::StrCat(millisecondsBetween(view.heardAt, now))},
-                      {"takes_runs", view.state.takesRuns ? "1" : "0"},
+                      {"takes_runs", view.reported.takesRuns ? "1" : "0"},
                       {"leaving", view.isLeaving ? "1" : "0"}});
         }
         if (view.isGivenUp || now - view.heardAt <= times_.giveUp) {
@@ -150,7 +165,7 @@
 
 bool WorkerDirectory::isUsable(const WorkerView &view, MonotonicTime now) const
 {
-    return view.link != LocalLink && view.state.takesRuns && !view.isLeaving && now - view.heardAt <= times_.suspect;
+    return view.link != LocalLink && view.reported.takesRuns && !view.isLeaving && now - view.heardAt <= times_.suspect;
 }
 
 void WorkerDirectory::send(const OperatorMemory &operators,
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -32,6 +32,7 @@
     std::string incarnation; ///< Of the agent.
     LinkId link = LocalLink;
     wire::WorkerState state;
+    wire::WorkerRoom reported; ///< Does not count the orders that are unseen.
     bool isCleared = false;
     bool isLeaving = false;
     int64_t session = 0;
@@ -42,9 +43,10 @@
     RepeatFilter ends;
     int64_t acknowledgedToAgent = 0;
     std::vector<std::pair<int64_t, Demand>> unseen; ///< Demands of the orders that the state does not count yet.
-    Demand room; ///< Of the state, less what is unseen.
+    Demand room; ///< As reported, less what is unseen.
     int64_t operatorPosition = 0;
     int64_t operatorSent = 0;
+    double affinity = 0; ///< How much this entry likes the worker, from 0 to 1: a hash of both names.
     bool isGivenUp = true; ///< Nothing of this entry's can be there.
     bool wasSuspect = false;
 };
--- a/request/worker_keeper.cpp
+++ b/request/worker_keeper.cpp
@@ -621,29 +621,34 @@
     return worker_ ? WorkerTarget{worker_->address, worker_->identity.id} : WorkerTarget{};
 }
 
-wire::WorkerState WorkerKeeper::state(MonotonicTime now) const
+wire::WorkerState WorkerKeeper::state() const
 {
     wire::WorkerState state;
-    if (!worker_) {
-        return state;
+    if (worker_) {
+        state.worker = worker_->identity.id;
+        state.bornMs = worker_->identity.bornMs;
+        state.serviceName = worker_->service;
+        state.domain = worker_->domain;
+        state.labels = worker_->labels;
+        state.capacity = toWire(worker_->capacity);
     }
-    Demand waiting;
-    for (const RunRequest &request : waiting_) {
-        waiting = waiting + request.demand;
-    }
-    state.worker = worker_->identity.id;
-    state.bornMs = worker_->identity.bornMs;
-    state.serviceName = worker_->service;
-    state.domain = worker_->domain;
-    state.labels = worker_->labels;
-    state.capacity = toWire(worker_->capacity);
-    state.unclaimed = toWire(worker_->capacity - claimed() - waiting);
-    state.takesRuns = takesRuns();
-    state.waitingCpuMillis = waiting.cpuMillis;
-    state.silentMs = lease_.isDoubtful() ? millisecondsBetween(answeredAt_, now) : 0;
     return state;
 }
 
+wire::WorkerRoom WorkerKeeper::room() const
+{
+    wire::WorkerRoom room;
+    if (worker_) {
+        Demand waiting;
+        for (const RunRequest &request : waiting_) {
+            waiting = waiting + request.demand;
+        }
+        room.unclaimed = toWire(worker_->capacity - claimed() - waiting);
+        room.takesRuns = takesRuns();
+    }
+    return room;
+}
+
 void WorkerKeeper::log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields)
 {
     out_.logs.push_back(LogEvent{level, event, std::move(fields)});
--- a/request/worker_keeper.h
+++ b/request/worker_keeper.h
@@ -93,7 +93,8 @@
     Output take();
 
     /** What entries need to know; changes are told by comparing. */
-    wire::WorkerState state(MonotonicTime now) const;
+    wire::WorkerState state() const;
+    wire::WorkerRoom room() const;
 
     /** Whether nothing of earlier incarnations of this agent is left on the worker. */
     bool isCleared() const
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -255,7 +255,7 @@
     3: i32 accelerators = 0,
 }
 
-/** The worker beside an agent, as an entry needs to know it. */
+/** What seldom changes of the worker beside an agent. */
 struct WorkerState {
     /** Empty while no worker has announced itself. */
     1: string worker,
@@ -263,16 +263,16 @@
     3: string domain,
     4: list<string> labels,
     5: Demand capacity,
+    /** Of two workers said to be beside an agent the one born later is there. Unix milliseconds. */
+    6: i64 bornMs = 0,
+}
+
+/** What changes with each run of the worker beside an agent. */
+struct WorkerRoom {
     /** Capacity less all that runs, starts, stops, waits here or can't be told. */
-    6: Demand unclaimed,
+    1: Demand unclaimed,
     /** Takes new runs: synchronised, answering and not about to leave. */
-    7: bool takesRuns = false,
-    /** The runs that wait here for room, in thousandths of a core. */
-    8: i32 waitingCpuMillis = 0,
-    /** How long the worker has been silent towards its agent, in milliseconds. */
-    9: i32 silentMs = 0,
-    /** Of two workers said to be beside an agent the one born later is there. Unix milliseconds. */
-    10: i64 bornMs = 0,
+    2: bool takesRuns = false,
 }
 
 /** Entry to agent: have one task run, once. The entry numbers its runs. */
@@ -387,12 +387,14 @@
     6: i64 firstSequence = 0,
     7: i64 acknowledged = 0,
     8: list<RunEnd> ends,
+    /** Set when it changed since the last message over this connection. */
     9: optional WorkerState worker,
     10: i64 operatorPosition = 0,
     11: optional OperatorState operatorState,
     /** All runs of earlier incarnations of the agent are gone from its worker. */
     12: bool cleared = false,
     13: bool leaving = false,
+    14: WorkerRoom room,
 }
 
 /** Exactly one field is set. */
