Send an unanswered start again as it was, and back a silent hold by another

A lost hold kept all ends of a worker unheard for 350 ms and put the worker out of use (20 times a second), a lost start cost 150 ms and a fence. Ruled out: lack of room; tasks were called overdue (50 to 70 a second) that had ended. Change: a start is unanswered after 50 ms and sent again with the same attempt, which is one run to the worker; only then the fence is raised. A hold silent for 50 ms is backed by a second. A worker that has answered another call meanwhile is not silent.

--- a/request/worker_keeper.cpp
+++ b/request/worker_keeper.cpp
@@ -224,12 +224,9 @@
     return from != runs_.end() && from->first.isSameTask(key);
 }
 
-bool WorkerKeeper::startOne(RunRequest request, MonotonicTime now)
+void WorkerKeeper::startOne(RunRequest request, MonotonicTime now)
 {
-    const int64_t callId = ++lastCall_;
     const RunKey key = request.key;
-    StartRun call{
-        callId, target(), key, request.spec, lease_.extend(now), fence_, request.startBy, timing_.callTimeout};
     log(LogEvent::Level::Info,
         "run_start",
         {{"request", request.requestId},
@@ -239,13 +236,24 @@
          {"free_cpu_millis", absl::StrCat(worker_->capacity.cpuMillis - claimed().cpuMillis)}});
     Run run;
     run.request = std::move(request);
-    run.startCall = callId;
+    sendStart(runs_[key] = std::move(run), now);
+}
+
+void WorkerKeeper::sendStart(Run &run, MonotonicTime now)
+{
+    const RunRequest &request = run.request;
+    run.startCall = ++lastCall_;
     run.fence = fence_;
     run.sentAt = now;
-    startCalls_[callId] = key;
-    runs_[key] = std::move(run);
-    out_.calls.emplace_back(std::move(call));
-    return true;
+    startCalls_[run.startCall] = request.key;
+    out_.calls.emplace_back(StartRun{run.startCall,
+                                     target(),
+                                     request.key,
+                                     request.spec,
+                                     lease_.extend(now),
+                                     fence_,
+                                     request.startBy,
+                                     timing_.startTimeout});
 }
 
 void WorkerKeeper::reply(const WorkerReply &reply, MonotonicTime now)
@@ -295,6 +303,12 @@
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.problem}});
+        if (run.phase == Phase::Starting && run.tries < timing_.startTries) {
+            // The same start twice is one run to the worker.
+            ++run.tries;
+            sendStart(run, now);
+            return;
+        }
         if (run.phase == Phase::Starting) {
             run.phase = Phase::Unresolved;
         }
@@ -309,6 +323,10 @@
     if (reply.rejection == Rejection::StaleFence) {
         raiseFence(run.fence == fence_ ? fence_ + FenceStep : fence_);
     }
+    if (reply.rejection == Rejection::OldAttempt && run.tries > 1) {
+        confirm(run, now); // The first of the two began, and has ended; the next listing tells how.
+        return;
+    }
     const bool canRetry = reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence;
     if (canRetry && !isStopping && run.retries < MaxAttemptRaises) {
         const int retries = run.retries + 1;
@@ -363,6 +381,9 @@
         }
         return;
     }
+    if (answeredAt_ > hold.sentAt) {
+        return; // The worker has answered another call meanwhile.
+    }
     if (!lease_.isDoubtful()) {
         log(LogEvent::Level::Warning,
             "worker_silent",
@@ -482,14 +503,10 @@
     fence_ = std::max(fence_, atLeast);
 }
 
-/** Keeps one hold at the worker as long as anything there is of interest. */
+/** Keeps a hold at the worker as long as anything there is of interest. */
 void WorkerKeeper::watch(MonotonicTime now)
 {
-    if (!worker_ || !holds_.empty()) {
-        return;
-    }
-    const bool hasNews = endsAcknowledged_ < endsSeen_;
-    if (runs_.empty() && isSettled_ && !hasNews) {
+    if (!worker_ || !shouldWatch(now)) {
         return;
     }
     const bool isRetry = lease_.isDoubtful() || !isSettled_;
@@ -503,6 +520,15 @@
     sendHold(isRetry ? Milliseconds(0) : timing_.watch, true, now);
 }
 
+/** Whether one more hold is of use: the first, or a second beside one that may have been lost. */
+bool WorkerKeeper::shouldWatch(MonotonicTime now) const
+{
+    if (holds_.empty()) {
+        return !runs_.empty() || !isSettled_ || endsAcknowledged_ < endsSeen_;
+    }
+    return holds_.size() == 1 && !runs_.empty() && now - holds_.begin()->second.sentAt >= timing_.secondWatch;
+}
+
 void WorkerKeeper::sendHold(Milliseconds wait, bool extends, MonotonicTime now)
 {
     const int64_t callId = ++lastCall_;
--- a/request/worker_keeper.h
+++ b/request/worker_keeper.h
@@ -49,6 +49,9 @@
     Milliseconds lease{600}; ///< Runs end this long after the last word of this agent.
     Milliseconds watch{200}; ///< How long a hold waits for an end; also the pace of the lease.
     Milliseconds callTimeout{150}; ///< A call that the worker should answer at once is unresolved after this.
+    Milliseconds startTimeout{50}; ///< The same for a start, which may be sent again as it was.
+    int startTries = 2; ///< Starts that go unanswered before the fence is raised.
+    Milliseconds secondWatch{50}; ///< A hold that has told nothing for so long is backed by another.
     Milliseconds retryPause{100}; ///< Between two tries of the same stop or hold.
     Milliseconds announceLapse{4000}; ///< A worker silent for so long that does not answer either is gone.
 };
@@ -127,7 +130,8 @@
         MonotonicTime confirmedAt; ///< Of the worker's word that it is there; listings asked for later show it.
         bool isConfirmed = false;
         MonotonicTime stopSentAt;
-        int retries = 0;
+        int tries = 1; ///< Starts sent with this attempt.
+        int retries = 0; ///< Starts with higher attempts or fences.
     };
 
     struct Hold
@@ -143,7 +147,9 @@
     void loseAll(const std::string &reason, MonotonicTime now);
     void startWaiting(MonotonicTime now);
     void refuseOverdue(MonotonicTime now);
-    bool startOne(RunRequest request, MonotonicTime now);
+    void startOne(RunRequest request, MonotonicTime now);
+    void sendStart(Run &run, MonotonicTime now);
+    bool shouldWatch(MonotonicTime now) const;
     bool isTaskThere(const RunKey &key) const;
     void onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now);
     void onHoldReply(const Hold &hold, const WorkerReply &reply, MonotonicTime now);
