--- a/request/work_desk.cpp
+++ b/request/work_desk.cpp
@@ -66,6 +66,7 @@
 Milliseconds WorkDesk::expectedTime(const WorkJob &job, const wire::Route &route) const
 {
     std::vector<Milliseconds> expected;
+    expected.reserve(job.steps.size());
     for (const WorkStep &step : job.steps) {
         expected.push_back(book_.expect(route.name, step.estimate));
     }
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 packages=(
-    cmake ninja-build g++ ccache clang-format clang-tidy-16 curl python3-minimal gnuplot-nox
+    cmake ninja-build g++ ccache clang-format clang-tidy-16 curl python3 gnuplot-nox
     libabsl-dev libthrift-dev libevent-dev libxxhash-dev
     libboost-dev libboost-program-options-dev libinih-dev
     libmicrohttpd-dev libcurl4-openssl-dev libspdlog-dev
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -71,7 +71,7 @@
 }
 
 using Runner = int (*)(const options::variables_map &);
-const std::map<std::string, Runner> runners
+const std::map<std::string, Runner> Runners
     = {{"table", &runTable}, {"endpoint", &runEndpoint}, {"store", &runStore}, {"worker", &runWorker}};
 
 } // namespace
@@ -99,7 +99,7 @@
                        arguments);
         options::notify(arguments);
         const std::string kind = arguments.count("kind") != 0 ? arguments["kind"].as<std::string>() : std::string();
-        if (const auto runner = runners.find(kind); runner != runners.end()) {
+        if (const auto runner = Runners.find(kind); runner != Runners.end()) {
             return runner->second(arguments);
         }
         std::cerr << "name a stand-in: table, endpoint, store or worker\n" << description;
