Let the soak start a process again only once when two faults stop it

A fault signalled a process that another fault had ended already, and then waited for the one started in its place.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -118,11 +118,12 @@
         if process and process.poll() is None:
             process.send_signal(number)
 
-    async def revive(self, name):
-        """Starts a process again once it has ended."""
-        while self.processes[name].poll() is None:
+    async def revive(self, name, process):
+        """Starts a process again once it has ended, unless another fault has done so."""
+        while process.poll() is None:
             await asyncio.sleep(0.02)
-        self.start_named(name)
+        if self.processes[name] is process:
+            self.start_named(name)
 
     def end(self):
         for process in self.processes.values():
@@ -187,9 +188,10 @@
         deployment.signal(name, signal.SIGCONT)
 
     async def down(name, number, span):
+        process = deployment.processes[name]
         deployment.signal(name, number)
         await asyncio.sleep(span)
-        await deployment.revive(name)
+        await deployment.revive(name, process)
 
     async def store(fault, span):
         await http(deployment.store, "POST", "/faults", fault)
