Ignore late words of an agent's earlier life

A link that had been silenced let words of a killed agent through after its next life was met; the entry took them for a newer life that had cleared its worker, and started the tasks again. Ruled out: the leases and bounds; the entry's log shows agent_met for the old incarnation after the new one. Change: incarnations that were followed by another are remembered and ignored.

--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** Connections outlast only a few restarts of an agent. */
+constexpr size_t MostFormerIncarnations = 16;
+
 double affinityOf(const std::string &entry, const std::string &agent)
 {
     const std::string both = absl::StrCat(entry, "/", agent);
@@ -31,7 +34,9 @@
 {
     WorkerView &view = views_[batch.agent];
     const bool isNew = view.incarnation != batch.incarnation;
-    if (!isNew && batch.sentAtUs < view.heardUs) {
+    const bool isFormer
+        = std::ranges::find(view.formerIncarnations, batch.incarnation) != view.formerIncarnations.end();
+    if (isFormer || (!isNew && batch.sentAtUs < view.heardUs)) {
         return std::nullopt;
     }
     if (isNew) {
@@ -39,6 +44,10 @@
                  "agent_met",
                  {{"agent", batch.agent}, {"incarnation", batch.incarnation}, {"before", view.incarnation}});
         view.agent = batch.agent;
+        view.formerIncarnations.push_back(view.incarnation);
+        if (view.formerIncarnations.size() > MostFormerIncarnations) {
+            view.formerIncarnations.erase(view.formerIncarnations.begin());
+        }
         view.affinity = affinityOf(entry_, batch.agent);
         view.incarnation = batch.incarnation;
         view.isCleared = false;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -30,6 +30,7 @@
 {
     std::string agent;
     std::string incarnation; ///< Of the agent.
+    std::vector<std::string> formerIncarnations; ///< Their words may still be under way.
     LinkId link = LocalLink;
     wire::WorkerState state;
     wire::WorkerRoom reported; ///< Does not count the orders that are unseen.
