Keep small entries from running out of processor in bursts, and choose by fresher room

Orders met in vain waited 250 ms. Ruled out: newest-first order and a stricter forecast at arrival; both served fewer in virtual time. Change: workers are looked up once a step; receipts go along with other messages; room that grew is told late but to the entry whose run ended, room that ran short at once; messages are written without a turn of the loop; events are gathered for 1 ms; orders wait 60 ms; late jobs leave a quarter of each worker free; an unanswered start is sent again after 20 ms; a long task is not chased while its worker ends others; a step of priority is 60 ms.

--- a/connection/link_loop.cpp
+++ b/connection/link_loop.cpp
@@ -15,8 +15,10 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 #include <utility>
 #include <vector>
@@ -94,6 +96,7 @@
         bufferevent *stream = nullptr;
         LinkId link = LocalLink;
         std::string address;
+        bool isConnected = false;
     };
 
     static void onAccept(evconnlistener *, evutil_socket_t socket, sockaddr *, int, void *self);
@@ -108,6 +111,7 @@
     void sendOne(const Reset &item);
     Connection *connectionTo(const std::string &address);
     void write(Connection &connection, const Message &message);
+    static size_t writeAtOnce(const Connection &connection, const std::array<iovec, 2> &parts);
     bool readFrame(Connection &connection);
     void close(Connection &connection);
 
@@ -198,6 +202,7 @@
     connection->loop = loop;
     connection->stream = bufferevent_socket_new(loop->base_, socket, BEV_OPT_CLOSE_ON_FREE);
     connection->link = ++loop->lastLink_;
+    connection->isConnected = true;
     loop->adopt(std::move(connection));
 }
 
@@ -289,13 +294,32 @@
         close(connection);
         return;
     }
-    const uint32_t length = htonl(static_cast<uint32_t>(body.size()));
-    evbuffer_add(output, &length, HeaderBytes);
-    evbuffer_add(output, body.data(), body.size());
+    uint32_t length = htonl(static_cast<uint32_t>(body.size()));
+    std::array<iovec, 2> parts{iovec{&length, HeaderBytes}, iovec{const_cast<char *>(body.data()), body.size()}};
+    const bool isFirst = connection.isConnected && evbuffer_get_length(output) == 0;
+    size_t written = isFirst ? writeAtOnce(connection, parts) : 0;
+    for (const iovec &part : parts) {
+        const size_t done = std::min(written, part.iov_len);
+        evbuffer_add(output, static_cast<const char *>(part.iov_base) + done, part.iov_len - done);
+        written -= done;
+    }
     ++traffic.messagesOut;
     traffic.bytesOut += HeaderBytes + body.size();
 }
 
+/**
+ * Writes what the socket takes now, without a turn of the loop; returns the number of bytes. An error is left
+ * for the loop to find, with the rest.
+ */
+size_t LinkLoop::Impl::writeAtOnce(const Connection &connection, const std::array<iovec, 2> &parts)
+{
+    msghdr message{};
+    message.msg_iov = const_cast<iovec *>(parts.data());
+    message.msg_iovlen = parts.size();
+    const ssize_t sent = sendmsg(bufferevent_getfd(connection.stream), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    return static_cast<size_t>(std::max<ssize_t>(sent, 0));
+}
+
 void LinkLoop::Impl::onReadable(bufferevent *, void *context)
 {
     auto *connection = static_cast<Connection *>(context);
@@ -341,6 +365,7 @@
 {
     auto *connection = static_cast<Connection *>(context);
     if ((what & BEV_EVENT_CONNECTED) != 0) {
+        connection->isConnected = true;
         setNoDelay(stream);
     } else if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
         connection->loop->close(*connection);
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -76,6 +76,7 @@
         self.work, self.base, self.rng = work, base, rng
         self.processes, self.dead = {}, set()
         self.store = base
+        self.links = "proxy"  # Where others reach an entry's links.
 
     def port(self, kind, index):
         return self.base + {"http": 10, "ready": 20, "metrics": 30, "link": 40, "proxy": 50, "face": 100,
@@ -90,7 +91,7 @@
 
     def start_named(self, name):
         index = int(name[5:]) if name[5:].isdigit() else 0
-        seeds = ",".join(self.address("proxy", i) for i in range(ENTRIES))
+        seeds = ",".join(self.address(self.links, i) for i in range(ENTRIES))
         if name == "store":
             self.start(name, f"{BUILD}/standins/marjoramferry-standin", "store", "--listen", f"127.0.0.1:{self.store}")
             return
@@ -107,7 +108,7 @@
                 out.write(f"[process]\nrole = work-entry\n{common}[work_entry]\nhttp_listen = {self.address('http', index)}\n"
                           f"readiness_listen = {self.address('ready', index)}\n"
                           f"metrics_listen = {self.address('metrics', index)}\n"
-                          f"link_listen = {self.address('link', index)}\nlink_address = {self.address('proxy', index)}\n" + tail)
+                          f"link_listen = {self.address('link', index)}\nlink_address = {self.address(self.links, index)}\n" + tail)
             else:
                 out.write(f"[process]\nrole = work-agent\n{common}[work_agent]\nhttp_listen = {self.address('face', index)}\n"
                           f"metrics_listen = {self.address('agent_metrics', index)}\n" + tail)
@@ -178,6 +179,17 @@
         entry = (entry + 1) % ENTRIES
 
 
+async def publish(deployment):
+    """The operator's one configuration: a queue."""
+    configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
+                                               "service": "orders", "target-latency-ms": 60, "max-attempts": 3,
+                                               "priority": 0, "stretch": 1.6}]}
+    value = base64.b64encode(json.dumps(configuration).encode()).decode()
+    await http(deployment.store, "POST", "/api/rows-tx",
+               {"expected-rev": [], "remove": [],
+                "writes": [{"table": "op", "part": "", "key": "config", "value": value}]})
+
+
 async def faults(deployment, seconds):
     rng = deployment.rng
     pending, end = [], time.monotonic() + seconds
@@ -279,13 +291,7 @@
         for proxy in proxies:
             await proxy.start()
         await asyncio.sleep(0.3)
-        configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
-                                                   "service": "orders", "target-latency-ms": 60, "max-attempts": 3,
-                                                   "priority": 0, "stretch": 1.6}]}
-        value = base64.b64encode(json.dumps(configuration).encode()).decode()
-        await http(deployment.store, "POST", "/api/rows-tx",
-                   {"expected-rev": [], "remove": [],
-                    "writes": [{"table": "op", "part": "", "key": "config", "value": value}]})
+        await publish(deployment)
         for i in range(ENTRIES):
             deployment.start_named(f"entry{i}")
         for i in range(WORKERS):
--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -6,6 +6,7 @@
 #include "process/metrics_face.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 
 namespace marjoramferry {
@@ -16,6 +17,8 @@
 constexpr long StoreConnections = 4;
 constexpr Milliseconds BusyTickPeriod{10};
 constexpr Milliseconds IdleTickPeriod{50};
+/** Events that come within it are decided together: wake-ups and messages are what a busy entry pays for. */
+constexpr Milliseconds GatherPause{1};
 /** Another entry serves; a caller that comes back at once reaches it. */
 constexpr Milliseconds StoppingRetryAfter{1000};
 constexpr int StatusOk = 200;
@@ -127,6 +130,7 @@
             execute(command);
         }
         isReady_ = core_.isReady(now);
+        std::this_thread::sleep_for(GatherPause);
     }
     isOver_ = true;
     rejectLeft();
--- a/programs/marjoramferryd.cpp
+++ b/programs/marjoramferryd.cpp
@@ -6,6 +6,7 @@
 #include "process/work_agent_process.h"
 #include "process/work_entry_process.h"
 
+#include <absl/synchronization/mutex.h>
 #include <boost/program_options.hpp>
 
 #include <csignal>
@@ -70,6 +71,8 @@
     const sigset_t set = handledSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    // Debian's Abseil looks for deadlocks at every lock, which is meant for tests.
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     std::visit(
         Overloaded{
             [&](const EntrySettings &each) {
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -13,6 +13,8 @@
 constexpr Milliseconds OperatorReadPause{400};
 /** What runs is stopped this long before the process ends, so that entries hear of it. */
 constexpr Milliseconds StopBeforeEnd{500};
+/** Below this share of the worker's capacity one more order may find no room. */
+constexpr double ScarceRoom = 0.2;
 
 } // namespace
 
@@ -142,7 +144,6 @@
     entry.session = batch.session;
     entry.ends = {};
     entry.instructions = {};
-    entry.acknowledgedToEntry = 0;
     entry.operatorSent = 0;
 }
 
@@ -250,10 +251,14 @@
     }
 }
 
-Milliseconds WorkAgent::sharePause() const
+Milliseconds WorkAgent::sharePause(const Entry &entry) const
 {
     const auto connected = std::ranges::count_if(entries_, [](const auto &each) { return each.second.isConnected; });
-    return options_.shareRoom * connected;
+    const double capacity = std::max(1, keeper_.state().capacity.cpuMillis);
+    const double told = entry.roomSent.unclaimed.cpuMillis / capacity;
+    const double room = keeper_.room().unclaimed.cpuMillis / capacity;
+    const bool runsShort = room < ScarceRoom && room < told;
+    return (runsShort ? options_.shareScarcity : options_.shareRoom) * connected;
 }
 
 void WorkAgent::sendDue(const std::string &address, Entry &entry, MonotonicTime now)
@@ -261,12 +266,12 @@
     if (!entry.isConnected) {
         return;
     }
-    const bool owes = entry.ends.hasUnsent() || entry.acknowledgedToEntry != entry.instructions.last();
     const bool hasNews
         = entry.operatorPosition < operators_.state().position && entry.operatorSent < operators_.state().position;
-    const bool canShare = now - entry.sentAt >= sharePause();
+    const bool canShare = now - entry.sentAt >= sharePause(entry);
     const bool isDue = now - entry.sentAt >= options_.beat;
-    if (owes || hasNews || isDue || (canShare && keeper_.room() != entry.roomSent)) {
+    // The word that orders have come in goes along: until then the entry counts them against the room itself.
+    if (entry.ends.hasUnsent() || hasNews || isDue || (canShare && keeper_.room() != entry.roomSent)) {
         send(address, entry, now);
     }
 }
@@ -296,7 +301,6 @@
     }
     batch.cleared = keeper_.isCleared();
     batch.leaving = drainingSince_.has_value();
-    entry.acknowledgedToEntry = batch.acknowledged;
     entry.sentAt = now;
     out_.emplace_back(SendToPeer{address, std::move(batch)});
 }
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -23,10 +23,12 @@
     Milliseconds beat{150}; ///< Each entry hears from this agent at least so often.
     Milliseconds entryLapse{700}; ///< Runs of an entry end when the agent has had no proof of its life for so long.
     /**
-     * Least time between two words of changed room to an entry that asked for nothing, for each entry
-     * connected. All entries together cost an agent, and all agents an entry, at most so many messages.
+     * Least time between two words of changed room to an entry that has no end to hear of, for each entry
+     * connected, so that all agents together cost an entry at most so many messages. Room that grew is told
+     * late: the entry whose run ended hears of it at once and goes first, while all would order the same room.
      */
-    Milliseconds shareRoom{3};
+    Milliseconds shareRoom{15};
+    Milliseconds shareScarcity{1}; ///< The same for room that shrank to little, which others may order in vain.
     Milliseconds redial{300}; ///< An entry that does not answer is dialled again after this, at first.
     Milliseconds redialMost{3000};
     Milliseconds membersPoll{1500}; ///< How often the list of entries is read while none answers.
@@ -98,7 +100,6 @@
         int64_t echoedUs = 0; ///< The newest time of this agent's clock that the entry has proved to know.
         RepeatedOutbox<wire::RunEnd> ends;
         RepeatFilter instructions;
-        int64_t acknowledgedToEntry = 0; ///< What the entry was last told that this agent has.
         int64_t operatorPosition = 0;
         int64_t operatorSent = 0;
         MonotonicTime heardAt;
@@ -121,7 +122,7 @@
     void keepConnection(const std::string &address, Entry &entry, MonotonicTime now);
     void checkLife(Entry &entry, MonotonicTime now);
     void takeOperatorState(const wire::OperatorState &state);
-    Milliseconds sharePause() const;
+    Milliseconds sharePause(const Entry &entry) const;
     void distributeEnds();
     void sendDue(const std::string &address, Entry &entry, MonotonicTime now);
     void send(const std::string &address, Entry &entry, MonotonicTime now);
--- a/request/work_desk.cpp
+++ b/request/work_desk.cpp
@@ -34,6 +34,14 @@
  * choose the same one.
  */
 constexpr double AffinityWeight = 0.4;
+/** How much a worker that is all free counts more than a full one, on the same scale. */
+constexpr double RoomWeight = 0.3;
+/** Decides between workers that are as good as each other. */
+constexpr double TieBreak = 0.02;
+/** Above all other differences between workers. */
+constexpr double FitsBonus = 10;
+/** Tasks away from their data take so much longer, by the platform's terms. */
+constexpr double RemoteSlowness = 1.5;
 
 /** Tasks that a worker must hold at once for a part of it to be kept free. */
 constexpr int LeastForReserve = 8;
@@ -135,8 +143,13 @@
     if (queue_.empty() || drain_ <= 0) {
         return true;
     }
-    job.isHopeless = now + expectedWait(placeOf(job, now)) > job.startBy;
-    return !job.isHopeless || now + expectedWait(placeOf(job, now)) <= job.rejectAt;
+    const Milliseconds wait = expectedWait(placeOf(job, now));
+    job.isHopeless = now + wait > job.startBy;
+    if (!job.isHopeless) {
+        return true;
+    }
+    // Behind all that can be in time it waits longer.
+    return now + expectedWait(placeOf(job, now)) <= job.rejectAt;
 }
 
 Milliseconds WorkDesk::expectedWait(const Place &place) const
@@ -294,61 +307,71 @@
         if (step.left == 0 || !isReady(job, step)) {
             continue;
         }
+        std::vector<Candidate> candidates = findCandidates(job, step, operators, now);
         for (size_t t = 0; t < step.tasks.size(); ++t) {
             if (step.tasks[t].phase != Phase::Queued) {
                 continue;
             }
-            WorkerView *view = chooseWorker(job, step, step.tasks[t], operators, now);
-            if (view == nullptr) {
+            Candidate *chosen = chooseWorker(candidates, step.tasks[t], step.wanted.demand);
+            if (chosen == nullptr) {
                 return false;
             }
-            sendTask(job, static_cast<int>(s), static_cast<int>(t), *view, now);
+            sendTask(job, static_cast<int>(s), static_cast<int>(t), *chosen->view, now);
+            chosen->trust = health_.trust(chosen->view->state.worker, now);
         }
     }
     return true;
 }
 
-bool WorkDesk::isAllowed(const WorkStep &step, const Task &task, const wire::WorkerState &worker)
-{
-    const bool hasLabel
-        = step.requiredLabel.empty() || std::ranges::find(worker.labels, step.requiredLabel) != worker.labels.end();
-    return hasLabel && std::ranges::find(task.avoid, worker.worker) == task.avoid.end();
-}
-
-WorkerView *WorkDesk::chooseWorker(
-    const Job &job, const Step &step, const Task &task, const OperatorMemory &operators, MonotonicTime now)
+std::vector<WorkDesk::Candidate>
+WorkDesk::findCandidates(const Job &job, const Step &step, const OperatorMemory &operators, MonotonicTime now)
 {
-    const Demand &demand = step.wanted.demand;
-    WorkerView *best = nullptr;
-    double bestScore = 0;
-    std::uniform_real_distribution<double> jitter(0, 0.02);
+    const WorkStep &wanted = step.wanted;
+    const auto has = [](const wire::WorkerState &worker, const std::string &label) {
+        return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
+    };
     const bool isUrgent = operators.isMostUrgent(job.route);
+    const bool isLate = placeOf(job, now).isLate;
+    std::vector<Candidate> candidates;
     for (auto &[agent, view] : directory_.views()) {
         const wire::WorkerState &state = view.state;
         // On a worker that holds only a few such tasks the reserve would cost a whole one.
-        const bool isKept = operators.hasUrgencies() && state.capacity.cpuMillis >= LeastForReserve * demand.cpuMillis;
-        const double share = isUrgent ? options_.urgentReach : (isKept ? -options_.reserve : 0);
+        const bool isKept
+            = operators.hasUrgencies() && state.capacity.cpuMillis >= LeastForReserve * wanted.demand.cpuMillis;
+        const double share = isLate ? -options_.lateReserve : isUrgent ? options_.urgentReach : (isKept ? -options_.reserve : 0);
         const Demand spare{static_cast<int>(state.capacity.cpuMillis * share), 0, 0};
-        const bool fits = demand.fitsIn(view.room);
-        if (!demand.fitsIn(view.room + spare) || !directory_.isUsable(view, now)
+        if (!wanted.demand.fitsIn(view.room + spare) || !directory_.isUsable(view, now)
             || state.serviceName != job.route.serviceName || operators.isEvacuated(state.domain)
-            || !isAllowed(step.wanted, task, state)) {
+            || !has(state, wanted.requiredLabel)) {
             continue;
         }
-        const Trust trust = health_.trust(state.worker, now);
-        if (trust == Trust::None || (trust == Trust::Probe && !fits)) {
+        const double farness = has(state, wanted.preferredLabel) ? 1.0 : RemoteSlowness;
+        const double liking = AffinityWeight * view.affinity - book_.slowness(state.worker) * farness;
+        candidates.push_back(Candidate{&view, health_.trust(state.worker, now), spare, liking});
+    }
+    return candidates;
+}
+
+/** Fast workers with much room first; one that would make the run wait only if all would. */
+WorkDesk::Candidate *
+WorkDesk::chooseWorker(std::vector<Candidate> &candidates, const Task &task, const Demand &demand)
+{
+    std::uniform_real_distribution<double> jitter(0, TieBreak);
+    Candidate *best = nullptr;
+    double bestScore = 0;
+    for (Candidate &each : candidates) {
+        const WorkerView &view = *each.view;
+        const bool fits = demand.fitsIn(view.room);
+        const bool isTrusted = each.trust == Trust::Full || (each.trust == Trust::Probe && fits);
+        if (!isTrusted || !demand.fitsIn(view.room + each.spare)
+            || std::ranges::find(task.avoid, view.state.worker) != task.avoid.end()) {
             continue;
         }
-        // Fast workers with much room first; one that would make the run wait only if all would.
-        const double roomShare
-            = static_cast<double>(view.room.cpuMillis) / std::max(1, static_cast<int>(state.capacity.cpuMillis));
-        const bool isFar = !step.wanted.preferredLabel.empty()
-            && std::ranges::find(state.labels, step.wanted.preferredLabel) == state.labels.end();
-        const double slowness = book_.slowness(state.worker) * (isFar ? 1.5 : 1.0);
-        const double score
-            = (fits ? 10 : 0) - slowness + 0.3 * roomShare + AffinityWeight * view.affinity + jitter(random_);
+        const double roomShare = static_cast<double>(view.room.cpuMillis)
+            / std::max(1, static_cast<int>(view.state.capacity.cpuMillis));
+        const double score = (fits ? FitsBonus : 0) + each.liking + RoomWeight * roomShare + jitter(random_);
         if (best == nullptr || score > bestScore) {
-            best = &view;
+            best = &each;
             bestScore = score;
         }
     }
@@ -390,7 +413,7 @@
     run.worker = worker;
     run.session = view.session;
     run.orderedAt = now;
-    run.overdueAt = overdueAt(step, worker, now);
+    run.overdueAt = overdueAt(step, worker, now, options_.overdueFactor);
     out_.log(LogEvent::Level::Info,
              "run_ordered",
              {{"request", job.requestId},
@@ -406,11 +429,13 @@
     retryBudget_ = std::min(MostRetryBudget, retryBudget_ + options_.retryShare);
 }
 
-MonotonicTime WorkDesk::overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt) const
+MonotonicTime
+WorkDesk::overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt, int factor) const
 {
-    const auto expected
-        = std::chrono::duration_cast<Milliseconds>(step.expected * std::max(1.0, book_.slowness(worker)));
-    return orderedAt + expected + std::max(expected * (options_.overdueFactor - 1), options_.overdueLeast);
+    // What the caller declared counts as well: a queue may hold tasks of very different lengths.
+    const Milliseconds onMiddling = std::max(step.expected, step.wanted.estimate);
+    const auto expected = std::chrono::duration_cast<Milliseconds>(onMiddling * std::max(1.0, book_.slowness(worker)));
+    return orderedAt + expected + std::max(expected * (factor - 1), options_.overdueLeast);
 }
 
 void WorkDesk::withdrawOverdue(MonotonicTime now)
@@ -423,10 +448,16 @@
         if (job == jobs_.end()) {
             continue;
         }
+        Step &step = job->second.steps[static_cast<size_t>(run.step)];
+        if (health_.hasSucceededSince(run.worker, run.orderedAt)) {
+            run.overdueAt = overdueAt(step, run.worker, run.orderedAt, options_.longFactor);
+            if (now < run.overdueAt) {
+                continue;
+            }
+        }
         retryBudget_ -= 1;
         run.isWithdrawn = true;
         health_.noteOverdue(run.worker, run.orderedAt, now);
-        Step &step = job->second.steps[static_cast<size_t>(run.step)];
         // The next try gets as long as this one had, and more: perhaps the task is just long.
         step.expected = std::max(step.expected, std::chrono::duration_cast<Milliseconds>(now - run.orderedAt));
         step.tasks[static_cast<size_t>(run.task)].avoid.push_back(run.worker);
@@ -527,7 +558,8 @@
         for (const int64_t number : runsOf_.contains(job.id) ? runsOf_.at(job.id) : absl::flat_hash_set<int64_t>()) {
             Run &sibling = runs_.at(number);
             if (sibling.step == run.step) {
-                sibling.overdueAt = std::max(sibling.overdueAt, overdueAt(step, sibling.worker, sibling.orderedAt));
+                const auto later = overdueAt(step, sibling.worker, sibling.orderedAt, options_.overdueFactor);
+                sibling.overdueAt = std::max(sibling.overdueAt, later);
             }
         }
     }
--- a/request/work_desk.h
+++ b/request/work_desk.h
@@ -23,19 +23,26 @@
      * Where queues differ in priority: this share of each worker is kept free for the most urgent
      * one, whose jobs may also have runs wait at the agent up to this share beyond the worker's room.
      */
-    double reserve = 0.1;
+    double reserve = 0.05;
     double urgentReach = 0.1;
-    Milliseconds patience{250}; ///< A run that waits longer for room at its agent comes back.
+    /**
+     * This share of each worker is kept free of jobs that can't be in time any more: an entry whose callers are
+     * few would fill it with them while at others jobs wait that still can.
+     */
+    double lateReserve = 0.25;
+    Milliseconds patience{60}; ///< A run that waits longer for room at its agent comes back.
     /** Of the time that a caller waits, this share may pass before a job that has not begun is rejected. */
     double waitShare = 0.35;
     Milliseconds defaultDeadline{3000}; ///< For callers that do not say how long they wait.
     int overdueFactor = 3; ///< A task that runs this many times as long as expected is started elsewhere.
+    /** The same where the worker has ended others since: the task is rather long than stalled. */
+    int longFactor = 6;
     Milliseconds overdueLeast{150}; ///< And at least this much longer.
     double retryShare = 0.1; ///< Starts elsewhere of overdue tasks, of all starts.
     /** Run times are guessed low as often as high, so a job should begin this much of its run time early. */
     double startMargin = 0.25;
     /** A job goes before another of the next lower priority that could start so much earlier. */
-    Milliseconds priorityStep{100};
+    Milliseconds priorityStep{60};
     uint64_t seed = 1;
 };
 
@@ -143,6 +150,15 @@
         bool isWithdrawn = false;
     };
 
+    /** A worker that may run tasks of a step, looked up once for all of them. */
+    struct Candidate
+    {
+        WorkerView *view = nullptr;
+        Trust trust = Trust::Full;
+        Demand spare; ///< So much more than its room may be asked for.
+        double liking = 0; ///< What speaks for it whatever its room is.
+    };
+
     /** Order in the queue. */
     struct Place
     {
@@ -162,11 +178,11 @@
     void placeTasks(const OperatorMemory &operators, MonotonicTime now);
     bool placeJob(Job &job, const OperatorMemory &operators, MonotonicTime now);
     bool isReady(const Job &job, const Step &step) const;
-    static bool isAllowed(const WorkStep &step, const Task &task, const wire::WorkerState &worker);
-    WorkerView *chooseWorker(
-        const Job &job, const Step &step, const Task &task, const OperatorMemory &operators, MonotonicTime now);
+    std::vector<Candidate>
+    findCandidates(const Job &job, const Step &step, const OperatorMemory &operators, MonotonicTime now);
+    Candidate *chooseWorker(std::vector<Candidate> &candidates, const Task &task, const Demand &demand);
     void sendTask(Job &job, int step, int task, WorkerView &view, MonotonicTime now);
-    MonotonicTime overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt) const;
+    MonotonicTime overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt, int factor) const;
     void withdrawOverdue(MonotonicTime now);
     void
     endRun(int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now);
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -23,7 +23,7 @@
     , directory_(options_.name, options_.incarnation, options_.directory)
     , desk_(options_.desk, directory_)
 {
-    entries_.insert(options_.linkAddress);
+    directory_.addEntry(options_.linkAddress);
 }
 
 void WorkEntry::handle(const WorkEntryEvent &event, MonotonicTime now)
@@ -44,7 +44,7 @@
                    },
                    [&](const KnownEntries &each) {
                        storeHeardAt_ = now;
-                       entries_.insert(each.addresses.begin(), each.addresses.end());
+                       meet(each.addresses);
                    },
                    [&](const StoreSilent &each) {
                        log(LogEvent::Level::Warning, "store_silent", {{"reason", each.problem}});
@@ -57,11 +57,7 @@
 std::vector<WorkEntryCommand> WorkEntry::flush(MonotonicTime now)
 {
     desk_.advance(operators_, now);
-    directory_.send(operators_,
-                    std::vector<std::string>(entries_.begin(), entries_.end()),
-                    isStoreDoubtful(now),
-                    drainingSince_.has_value(),
-                    now);
+    directory_.send(operators_, isStoreDoubtful(now), drainingSince_.has_value(), now);
     const auto take = [this](std::vector<EntryCommand> commands) {
         for (EntryCommand &command : commands) {
             std::visit(Overloaded{
@@ -172,7 +168,7 @@
 void WorkEntry::onLinkMessage(const LinkMessage &event, MonotonicTime now)
 {
     if (const auto *other = std::get_if<wire::EntryBatch>(&event.message)) {
-        entries_.insert(other->entries.begin(), other->entries.end());
+        meet(other->entries);
         return;
     }
     const auto *batch = std::get_if<wire::AgentBatch>(&event.message);
@@ -194,6 +190,11 @@
     }
 }
 
+void WorkEntry::meet(const std::vector<std::string> &addresses)
+{
+    std::ranges::for_each(addresses, [this](const std::string &address) { directory_.addEntry(address); });
+}
+
 void WorkEntry::takeOperatorState(const wire::OperatorState &state, const std::string &from)
 {
     if (operators_.take(state)) {
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -9,7 +9,6 @@
 #include "request/worker_directory.h"
 
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -96,6 +95,7 @@
     void onLinkMessage(const LinkMessage &event, MonotonicTime now);
     void onTick(MonotonicTime now);
     void onDrain(MonotonicTime now);
+    void meet(const std::vector<std::string> &addresses);
     void takeOperatorState(const wire::OperatorState &state, const std::string &from);
     void introduce(MonotonicTime now);
     std::optional<Destination> find(const CallAddress &address);
@@ -107,7 +107,6 @@
     OperatorMemory operators_;
     WorkerDirectory directory_;
     WorkDesk desk_;
-    std::set<std::string> entries_; ///< Addresses of the entries known, this one among them.
     MonotonicTime storeHeardAt_;
     bool wasStoreDoubtful_ = false;
     MonotonicTime introducedAt_;
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -59,6 +59,7 @@
         view.link = link;
         view.instructions.repeat();
         view.operatorSent = 0;
+        view.entriesSent = 0;
         view.sentAt = MonotonicTime();
     }
     AgentNews news;
@@ -177,31 +178,32 @@
     return view.link != LocalLink && view.reported.takesRuns && !view.isLeaving && now - view.heardAt <= times_.suspect;
 }
 
-void WorkerDirectory::send(const OperatorMemory &operators,
-                           const std::vector<std::string> &entries,
-                           bool wantsOperatorState,
-                           bool isLeaving,
-                           MonotonicTime now)
+void WorkerDirectory::addEntry(const std::string &address)
+{
+    if (std::ranges::find(entries_, address) == entries_.end()) {
+        entries_.push_back(address);
+    }
+}
+
+void WorkerDirectory::send(const OperatorMemory &operators, bool wantsOperatorState, bool isLeaving, MonotonicTime now)
 {
-    const bool hasNewEntries = entries != entriesSent_;
-    entriesSent_ = entries;
     for (auto &[agent, view] : views_) {
         if (view.link == LocalLink) {
             continue;
         }
         const int64_t position = operators.state().position;
         const bool owesState = view.operatorPosition < position && view.operatorSent < position;
-        const bool isDue = now - view.sentAt >= times_.beat;
-        if (view.instructions.hasUnsent() || owesState || isDue || hasNewEntries
-            || view.acknowledgedToAgent != view.ends.last()) {
-            sendTo(view, operators, entries, wantsOperatorState, isLeaving, now);
+        const bool isDue = now - view.sentAt >= times_.beat || view.entriesSent < entries_.size();
+        // Ends are acknowledged along with the next message; an agent that leaves waits for that.
+        const bool isAwaited = view.isLeaving && view.acknowledgedToAgent != view.ends.last();
+        if (view.instructions.hasUnsent() || owesState || isDue || isAwaited) {
+            sendTo(view, operators, wantsOperatorState, isLeaving, now);
         }
     }
 }
 
 void WorkerDirectory::sendTo(WorkerView &view,
                              const OperatorMemory &operators,
-                             const std::vector<std::string> &entries,
                              bool wantsOperatorState,
                              bool isLeaving,
                              MonotonicTime now)
@@ -220,7 +222,8 @@
         view.operatorSent = batch.operatorPosition;
         batch.__set_operatorState(operators.state());
     }
-    batch.entries = entries;
+    batch.entries.assign(entries_.begin() + static_cast<std::ptrdiff_t>(view.entriesSent), entries_.end());
+    view.entriesSent = entries_.size();
     batch.wantsOperatorState = wantsOperatorState;
     batch.leaving = isLeaving;
     view.acknowledgedToAgent = batch.acknowledged;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -47,6 +47,7 @@
     Demand room; ///< As reported, less what is unseen.
     int64_t operatorPosition = 0;
     int64_t operatorSent = 0;
+    size_t entriesSent = 0; ///< Over this link, of the entries known.
     double affinity = 0; ///< How much this entry likes the worker, from 0 to 1: a hash of both names.
     bool isGivenUp = true; ///< Nothing of this entry's can be there.
     bool wasSuspect = false;
@@ -86,9 +87,11 @@
     void order(WorkerView &view, const wire::RunOrder &order);
     void withdraw(const std::string &agent, int64_t session, int64_t runNumber);
 
+    /** Tells agents of another entry, each of them once over each connection. */
+    void addEntry(const std::string &address);
+
     /** Sends what is due to each agent. */
     void send(const OperatorMemory &operators,
-              const std::vector<std::string> &entries,
               bool wantsOperatorState,
               bool isLeaving,
               MonotonicTime now);
@@ -115,7 +118,6 @@
     void updateRoom(WorkerView &view);
     void sendTo(WorkerView &view,
                 const OperatorMemory &operators,
-                const std::vector<std::string> &entries,
                 bool wantsOperatorState,
                 bool isLeaving,
                 MonotonicTime now);
@@ -126,7 +128,7 @@
     std::map<std::string, WorkerView> views_; ///< By agent.
     std::map<LinkId, std::string> agents_; ///< By their present link.
     int64_t lastSession_ = 0;
-    std::vector<std::string> entriesSent_;
+    std::vector<std::string> entries_; ///< Addresses, in the order in which they became known.
     EntryOutbox out_;
 };
 
--- a/request/worker_health.cpp
+++ b/request/worker_health.cpp
@@ -33,12 +33,17 @@
 
 void WorkerHealth::noteOverdue(const std::string &worker, MonotonicTime sentAt, MonotonicTime now)
 {
-    Record &record = records_[worker];
-    if (record.succeededAt <= sentAt) {
-        eject(record, now);
+    if (!hasSucceededSince(worker, sentAt)) {
+        eject(records_[worker], now);
     }
 }
 
+bool WorkerHealth::hasSucceededSince(const std::string &worker, MonotonicTime since) const
+{
+    const auto found = records_.find(worker);
+    return found != records_.end() && found->second.succeededAt > since;
+}
+
 void WorkerHealth::eject(Record &record, MonotonicTime now)
 {
     if (record.isEjected && now < record.until) {
--- a/request/worker_health.h
+++ b/request/worker_health.h
@@ -31,6 +31,8 @@
      * only if it has ended nothing since; otherwise the task is long.
      */
     void noteOverdue(const std::string &worker, MonotonicTime sentAt, MonotonicTime now);
+    /** Whether a task ended well there after @p since. */
+    bool hasSucceededSince(const std::string &worker, MonotonicTime since) const;
     void noteProbe(const std::string &worker, MonotonicTime now);
     Trust trust(const std::string &worker, MonotonicTime now) const;
 
--- a/request/worker_keeper.cpp
+++ b/request/worker_keeper.cpp
@@ -253,7 +253,7 @@
                                      lease_.extend(now),
                                      fence_,
                                      request.startBy,
-                                     timing_.startTimeout});
+                                     timing_.startTimeout * run.tries});
 }
 
 void WorkerKeeper::reply(const WorkerReply &reply, MonotonicTime now)
--- a/request/worker_keeper.h
+++ b/request/worker_keeper.h
@@ -49,7 +49,7 @@
     Milliseconds lease{600}; ///< Runs end this long after the last word of this agent.
     Milliseconds watch{200}; ///< How long a hold waits for an end; also the pace of the lease.
     Milliseconds callTimeout{150}; ///< A call that the worker should answer at once is unresolved after this.
-    Milliseconds startTimeout{50}; ///< The same for a start, which may be sent again as it was.
+    Milliseconds startTimeout{20}; ///< The same for the first try of a start, which may be sent again as it was.
     int startTries = 2; ///< Starts that go unanswered before the fence is raised.
     Milliseconds secondWatch{50}; ///< A hold that has told nothing for so long is backed by another.
     Milliseconds retryPause{100}; ///< Between two tries of the same stop or hold.
--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace marjoramferry {
@@ -106,7 +107,8 @@
     const Spec spec = readSpec(call.spec);
     Running run;
     run.interval = history_.size();
-    run.endsAt = isStuck ? MonotonicTime::max() : now + Milliseconds(isFailing ? 1 : spec.runMs);
+    const Milliseconds runTime(isFailing ? 1 : std::lround(spec.runMs * slowness));
+    run.endsAt = isStuck ? MonotonicTime::max() : now + runTime;
     run.cpuMillis = spec.cpuMillis;
     run.kind = isFailing ? EndKind::Failed : EndKind::Done;
     history_.push_back(RunInterval{call.key, identity_.id, now, MonotonicTime::max(), false});
--- a/standins/worker_model.h
+++ b/standins/worker_model.h
@@ -64,6 +64,7 @@
 
     int64_t clockMs(MonotonicTime now) const;
 
+    double slowness = 1; ///< Tasks take so many times as long as their spec says.
     bool isFailing = false; ///< Everything that starts fails at once.
     bool isStuck = false; ///< Nothing that starts comes to an end.
 
--- a/tests/promises/shared_workers_test.cpp
+++ b/tests/promises/shared_workers_test.cpp
@@ -87,12 +87,15 @@
     std::mt19937_64 random(seed);
     for (int i = 0; i < jobs; ++i) {
         const int kind = static_cast<int>(random() % 3);
-        const int tasks = kind == 0 ? 8 : (kind == 1 ? 4 : 2);
-        const int runMs = kind == 0 ? 60 : (kind == 1 ? 700 : 200);
+        CounterJob job{absl::StrCat("job-", i), "quote", 8, 60, 60, 6200};
+        if (kind == 1) {
+            job = {job.id, "survey", 4, 700, 700, 6200};
+        } else if (kind == 2) {
+            job = {job.id, "status", 2, 200, 200, 6200};
+        }
         const int entry = static_cast<int>(random() % 3);
-        world.after(Milliseconds(i * paceMs), [=, &world] {
-            world.submit(absl::StrCat("job-", i), tasks, runMs, 6200, entry, Milliseconds(3000));
-        });
+        world.after(Milliseconds(i * paceMs),
+                    [=, &world] { world.submit(job, entry, Milliseconds(3000)); });
     }
 }
 
@@ -119,8 +122,8 @@
     world.runFor(Milliseconds(10'000));
     CHECK(absl::StrJoin(world.violations(), "\n").empty());
     // The quotes are a fifth of the work and come first; all jobs together have room for two thirds.
-    CHECK(world.inTime(60) >= 0.75);
-    CHECK(world.inTime(0) >= 0.5);
+    CHECK(world.inTime("quote") >= 0.75);
+    CHECK(world.inTime("") >= 0.5);
     // A caller that is refused hears so within 35% of the 3 s that it would wait.
     CHECK(world.longestRejection() <= Milliseconds(1060));
 }
--- a/tests/request/work_desk_test.cpp
+++ b/tests/request/work_desk_test.cpp
@@ -1,7 +1,10 @@
 #include "request/work_desk.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace marjoramferry;
 
 namespace {
@@ -102,6 +105,15 @@
         return sent;
     }
 
+    /** Whether any run was called overdue since the last call. */
+    bool overdueLogged()
+    {
+        return std::ranges::any_of(desk.takeCommands(), [](const EntryCommand &each) {
+            const auto *line = std::get_if<LogEvent>(&each);
+            return line != nullptr && line->event == "run_overdue";
+        });
+    }
+
     void end(const std::string &agent, int64_t run, wire::RunOutcome::type outcome, MonotonicTime now, int ranMs = 60)
     {
         wire::RunEnd end;
@@ -240,6 +252,58 @@
     CHECK_FALSE(desk.directory.views().at("a").instructions.hasUnsent());
 }
 
+TEST_CASE("Mixed queue: a task that runs as long as declared is left alone, whatever the queue's mean is")
+{
+    Desk desk;
+    desk.meet("a", "north", 16'000);
+    const wire::Route queue = route("orders", 0);
+    MonotonicTime now = Start;
+    for (int i = 0; i < 20; ++i) {
+        desk.submit(absl::StrCat("short-", i), queue, 1, 20, now);
+        const auto sent = desk.orders(now);
+        REQUIRE(sent.size() == 1);
+        now += Milliseconds(20);
+        desk.end("a", sent[0].second.runNumber, wire::RunOutcome::DONE, now, 20);
+        desk.report("a", 16'000, now);
+    }
+    desk.submit("long", queue, 1, 900, now);
+    REQUIRE(desk.orders(now).size() == 1);
+    desk.desk.advance(desk.operators, now + Milliseconds(950));
+    CHECK_FALSE(desk.overdueLogged());
+}
+
+TEST_CASE("Long tasks: one far longer than expected is left alone while its worker ends others")
+{
+    Desk desk;
+    desk.meet("a", "north", 16'000);
+    desk.submit("long", route("q", 0), 1, 300);
+    REQUIRE(desk.orders(Start).size() == 1);
+    desk.submit("other", route("q", 0), 1, 300, Start + Milliseconds(1));
+    const auto other = desk.orders(Start + Milliseconds(1));
+    REQUIRE(other.size() == 1);
+    const bool isWorkerAlive = GENERATE(true, false);
+    if (isWorkerAlive) {
+        desk.end("a", other[0].second.runNumber, wire::RunOutcome::DONE, Start + Milliseconds(500), 300);
+    }
+    desk.desk.advance(desk.operators, Start + Milliseconds(1000));
+    CHECK(desk.overdueLogged() == !isWorkerAlive);
+    desk.desk.advance(desk.operators, Start + Milliseconds(1900));
+    CHECK(desk.overdueLogged() == isWorkerAlive);
+}
+
+TEST_CASE("Burst at one entry of many: a job that can't be in time leaves a part of each worker to others")
+{
+    Desk desk;
+    desk.meet("a", "north", 16'000);
+    const wire::Route queue = route("q", 0);
+    desk.submit("late", queue, 1, 60);
+    const MonotonicTime later = Start + Milliseconds(200); // Too late to be in time.
+    desk.report("a", 10'000, later);
+    CHECK(desk.orders(later).empty());
+    desk.report("a", 12'000, later);
+    CHECK(desk.orders(later).size() == 1);
+}
+
 TEST_CASE("Evacuation: an evacuated domain gets nothing, the others do")
 {
     Desk desk;
--- a/tests/support/work_world.cpp
+++ b/tests/support/work_world.cpp
@@ -44,13 +44,6 @@
     return state;
 }
 
-std::string queueOf(int runMs)
-{
-    constexpr int LongestQuote = 100;
-    constexpr int LongestStatus = 400;
-    return runMs <= LongestQuote ? "/quote/" : (runMs <= LongestStatus ? "/status/" : "/survey/");
-}
-
 } // namespace
 
 WorkWorld::WorkWorld(WorldOptions options)
@@ -89,6 +82,12 @@
     now_ = end;
 }
 
+int WorkWorld::capacityOf(int agent) const
+{
+    return static_cast<int>(options_.capacityMillis
+                            * options_.sizes.at(static_cast<size_t>(agent) % options_.sizes.size()));
+}
+
 std::string WorkWorld::addressOf(int entry) const
 {
     return absl::StrCat("10.0.0.", entry + 1, ":7000");
@@ -337,9 +336,10 @@
             identity.id = present->identity().id;
         }
         present->die(now_);
-        deadWorkers_.push_back(std::move(present));
+        deadWorkers_.emplace_back(agent, std::move(present));
     }
     present = std::make_unique<WorkerModel>(identity, agent % 2 == 0 ? 1.0 : 0.98, now_);
+    present->slowness = 1 / options_.speeds.at(static_cast<size_t>(agent) % options_.speeds.size());
     announced_.at(static_cast<size_t>(agent)) = 0;
     after(Milliseconds(agent + 1), [this, agent, bornMs] {
         if (worker(agent).identity().bornMs == bornMs) {
@@ -356,7 +356,7 @@
     word.service = Service;
     word.address = "10.1.0.1:80";
     word.domain = "north";
-    word.capacity = {options_.capacityMillis, 100'000, 0};
+    word.capacity = {capacityOf(agent), 100'000, 0};
     word.clockMs = model.clockMs(now_);
     word.sequence = ++announced_.at(static_cast<size_t>(agent));
     toAgent(agent, agents_.at(static_cast<size_t>(agent)).life, word);
@@ -368,32 +368,29 @@
     });
 }
 
-void WorkWorld::submit(const std::string &jobId, int tasks, int runMs, int cpuMillis, int entry, Milliseconds deadline)
+void WorkWorld::submit(const CounterJob &job, int entry, Milliseconds deadline)
 {
-    sendCall(jobId, tasks, runMs, cpuMillis, entry, now_ + deadline);
+    sendCall(job, entry, now_ + deadline);
 }
 
-void WorkWorld::sendCall(
-    const std::string &jobId, int tasks, int runMs, int cpuMillis, int entry, MonotonicTime deadlineAt)
+void WorkWorld::sendCall(const CounterJob &job, int entry, MonotonicTime deadlineAt)
 {
     if (now_ >= deadlineAt) {
         return;
     }
-    calls_.push_back(CallRecord{jobId, tasks, runMs, now_, MonotonicTime(), std::nullopt, false, false});
+    calls_.push_back(CallRecord{job, now_, MonotonicTime(), std::nullopt, false, false});
     const uint64_t token = calls_.size();
     SubmitWork call;
-    call.address = CallAddress{token, Host, queueOf(runMs) + jobId, absl::StrCat("r-", token)};
+    call.address = CallAddress{token, Host, absl::StrCat("/", job.queue, "/", job.id), absl::StrCat("r-", token)};
     call.deadline = Milliseconds(millisecondsBetween(now_, deadlineAt));
     WorkStep step;
-    step.count = tasks;
-    step.demand = {cpuMillis, 64, 0};
-    step.estimate = Milliseconds(runMs);
+    step.count = job.tasks;
+    step.demand = {job.cpuMillis, 64, 0};
+    step.estimate = Milliseconds(job.estimateMs);
     call.job.steps = {step};
-    call.job.spec = makeSpec(runMs, cpuMillis);
-    resend_[token] = {entry, [=, this] {
-                          const int other = (entry + 1) % options_.entries;
-                          sendCall(jobId, tasks, runMs, cpuMillis, other, deadlineAt);
-                      }};
+    call.job.spec = makeSpec(job.runMs, job.cpuMillis);
+    resend_[token]
+        = {entry, [=, this] { sendCall(job, (entry + 1) % options_.entries, deadlineAt); }};
     const int64_t life = entries_.at(static_cast<size_t>(entry)).life;
     if (!entries_.at(static_cast<size_t>(entry)).core) {
         calls_.back().wasCut = true;
@@ -486,16 +483,23 @@
         calls_, [](const auto &call) { return call.answer && call.answer->answer == WorkAnswer::Complete; }));
 }
 
-double WorkWorld::inTime(int runMs) const
+double WorkWorld::inTime(const std::string &queue) const
+{
+    return inTime(queue, MonotonicTime::min(), MonotonicTime::max());
+}
+
+double WorkWorld::inTime(const std::string &queue, MonotonicTime from, MonotonicTime to) const
 {
     int all = 0;
     int good = 0;
     for (const CallRecord &call : calls_) {
-        if (runMs != 0 && call.runMs != runMs) {
+        const bool isMeant = queue.empty() || call.job.queue == queue;
+        if (!isMeant || call.sentAt < from || call.sentAt > to) {
             continue;
         }
         ++all;
-        const auto objective = std::chrono::duration_cast<Milliseconds>(Milliseconds(call.runMs) * Stretch) + Target;
+        const auto objective
+            = std::chrono::duration_cast<Milliseconds>(Milliseconds(call.job.runMs) * Stretch) + Target;
         const bool isComplete = call.answer && call.answer->answer == WorkAnswer::Complete;
         good += isComplete && call.answeredAt - call.sentAt <= objective ? 1 : 0;
     }
@@ -517,16 +521,20 @@
 {
     std::vector<std::string> broken;
     std::map<std::tuple<std::string, int, int>, std::vector<RunInterval>> tasks;
-    const auto take = [&](const WorkerModel &model) {
-        if (model.peakCpuMillis() > options_.capacityMillis) {
+    const auto take = [&](const WorkerModel &model, int most) {
+        if (model.peakCpuMillis() > most) {
             broken.push_back(absl::StrCat(model.identity().id, " ran ", model.peakCpuMillis(), " at once"));
         }
         for (const RunInterval &run : model.history()) {
             tasks[{run.key.jobId, run.key.step, run.key.task}].push_back(run);
         }
     };
-    std::ranges::for_each(workers_, [&](const auto &model) { take(*model); });
-    std::ranges::for_each(deadWorkers_, [&](const auto &model) { take(*model); });
+    for (size_t i = 0; i < workers_.size(); ++i) {
+        take(*workers_[i], capacityOf(static_cast<int>(i)));
+    }
+    for (const auto &[agent, model] : deadWorkers_) {
+        take(*model, capacityOf(agent));
+    }
     std::map<std::string, MonotonicTime> firstStart;
     std::map<std::string, int> done;
     for (auto &[task, runs] : tasks) {
@@ -554,16 +562,16 @@
     for (const CallRecord &call : calls_) {
         const bool isOpen = !call.answer && !call.wasCut && !call.wasLeft;
         if (isOpen) {
-            broken.push_back(call.jobId + " got no answer");
+            broken.push_back(call.job.id + " got no answer");
         }
-        if (call.answer && call.answer->answer == WorkAnswer::Complete && done[call.jobId] < call.tasks) {
-            broken.push_back(call.jobId + " was called complete, and a task never ended");
+        if (call.answer && call.answer->answer == WorkAnswer::Complete && done[call.job.id] < call.job.tasks) {
+            broken.push_back(call.job.id + " was called complete, and a task never ended");
         }
         const bool isRejected = call.answer && call.answer->answer == WorkAnswer::Rejected;
-        const auto started = firstStart.find(call.jobId);
-        const bool isFirst = std::ranges::count(calls_, call.jobId, &CallRecord::jobId) == 1;
+        const auto started = firstStart.find(call.job.id);
+        const bool isFirst = std::ranges::count(calls_, call.job.id, [](const auto &each) { return each.job.id; }) == 1;
         if (isRejected && isFirst && started != firstStart.end()) {
-            broken.push_back(call.jobId + " was called not run, and a task had started");
+            broken.push_back(call.job.id + " was called not run, and a task had started");
         }
     }
     return broken;
--- a/tests/support/work_world.h
+++ b/tests/support/work_world.h
@@ -20,16 +20,27 @@
     int entries = 3;
     int agents = 5;
     int capacityMillis = 32'000;
+    std::vector<double> sizes{1}; ///< Of the workers in turn: times capacityMillis.
+    std::vector<double> speeds{1}; ///< Of the workers in turn.
     uint64_t seed = 1;
     double lateOrders = 0; ///< Share of starts that get no answer and are carried out seconds later.
 };
 
+/** A job of equal tasks, as a caller submits it. */
+struct CounterJob
+{
+    std::string id;
+    std::string queue; ///< "quote", "status" or "survey", the most urgent first.
+    int tasks = 0;
+    int runMs = 0; ///< Of each task, on a worker of middling speed.
+    int estimateMs = 0; ///< What the caller says of it.
+    int cpuMillis = 0;
+};
+
 /** What became of one call of a caller. */
 struct CallRecord
 {
-    std::string jobId;
-    int tasks = 0;
-    int runMs = 0;
+    CounterJob job;
     MonotonicTime sentAt;
     MonotonicTime answeredAt;
     std::optional<CallAnswer> answer;
@@ -53,8 +64,8 @@
         return now_;
     }
 
-    /** Has a caller submit a job of equal tasks, and send it again should its entry die. */
-    void submit(const std::string &jobId, int tasks, int runMs, int cpuMillis, int entry, Milliseconds deadline);
+    /** Has a caller submit a job, and send it again should its entry die. */
+    void submit(const CounterJob &job, int entry, Milliseconds deadline);
     void after(Milliseconds delay, std::function<void()> action);
 
     void killEntry(int entry, Milliseconds downFor);
@@ -65,6 +76,10 @@
     void cut(int entry, int agent, bool toAgent, bool toEntry, Milliseconds span);
     void restartWorker(int agent, bool keepsName);
     WorkerModel &worker(int agent);
+    int entryCount() const
+    {
+        return options_.entries;
+    }
 
     const std::vector<CallRecord> &calls() const
     {
@@ -76,8 +91,11 @@
 
     int complete() const;
 
-    /** Of the jobs whose tasks run @p runMs, or of all for 0: the share that was complete in time. */
-    double inTime(int runMs) const;
+    /** Of the jobs of @p queue, or of all for "": the share that was complete in time. */
+    double inTime(const std::string &queue) const;
+
+    /** The same, of the jobs handed in from @p from to @p to. */
+    double inTime(const std::string &queue, MonotonicTime from, MonotonicTime to) const;
 
     /** The longest that a rejected call was held. */
     Milliseconds longestRejection() const;
@@ -118,7 +136,8 @@
     void tickEntry(int entry, int64_t life);
     void tickAgent(int agent, int64_t life);
     void onAnswer(const CallAnswer &answer);
-    void sendCall(const std::string &jobId, int tasks, int runMs, int cpuMillis, int entry, MonotonicTime deadlineAt);
+    void sendCall(const CounterJob &job, int entry, MonotonicTime deadlineAt);
+    int capacityOf(int agent) const;
     MonotonicTime whenThrough(int entry, int agent, bool isToAgent) const;
     std::string addressOf(int entry) const;
     bool chance(double share);
@@ -131,7 +150,7 @@
     std::vector<Node<WorkEntry>> entries_;
     std::vector<Node<WorkAgent>> agents_;
     std::vector<std::unique_ptr<WorkerModel>> workers_; ///< By agent.
-    std::vector<std::unique_ptr<WorkerModel>> deadWorkers_;
+    std::vector<std::pair<int, std::unique_ptr<WorkerModel>>> deadWorkers_; ///< With their agents.
     std::vector<int64_t> announced_;
     std::map<LinkId, Connection> connections_;
     std::map<std::pair<int, std::string>, LinkId> links_; ///< By agent and entry address.
