Conclude nothing of a start from what becomes of its second try

Change: the second try is sent whenever it is due, and whatever becomes of it but an answer of the run itself leaves the run open until the worker has taken a higher fence. Choice of workers has a file of its own.

--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -146,7 +146,7 @@
     settings.store.address = ini.address("platform", "store");
     settings.store.timeout = ini.duration("platform", "store_timeout", Milliseconds(400));
     absl::BitGen random;
-    options.desk.seed = absl::Uniform<uint64_t>(random);
+    options.desk.choice.seed = absl::Uniform<uint64_t>(random);
     return settings;
 }
 
--- a/request/work_desk.cpp
+++ b/request/work_desk.cpp
@@ -28,24 +28,6 @@
 /** Most that retries of overdue tasks may be saved up. */
 constexpr double MostRetryBudget = 20;
 
-/**
- * How much an entry's own liking of a worker counts, against run times relative to a middling worker.
- * Each entry likes other workers, so that entries whose view of the room is a little old seldom
- * choose the same one.
- */
-constexpr double AffinityWeight = 0.4;
-/** How much a worker that is all free counts more than a full one, on the same scale. */
-constexpr double RoomWeight = 0.3;
-/** Decides between workers that are as good as each other. */
-constexpr double TieBreak = 0.02;
-/** Above all other differences between workers. */
-constexpr double FitsBonus = 10;
-/** Tasks away from their data take so much longer, by the platform's terms. */
-constexpr double RemoteSlowness = 1.5;
-
-/** Tasks that a worker must hold at once for a part of it to be kept free. */
-constexpr int LeastForReserve = 8;
-
 /** The longest chain of expected run times through the steps. */
 Milliseconds longestChain(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &expected)
 {
@@ -67,7 +49,7 @@
 WorkDesk::WorkDesk(DeskOptions options, WorkerDirectory &directory)
     : options_(options)
     , directory_(directory)
-    , random_(options.seed)
+    , choice_(options.choice, directory, book_, health_)
 {
 }
 
@@ -307,12 +289,13 @@
         if (step.left == 0 || !isReady(job, step)) {
             continue;
         }
-        std::vector<Candidate> candidates = findCandidates(job, step, operators, now);
+        std::vector<WorkerChoice::Candidate> candidates
+            = choice_.find(step.wanted, job.route, placeOf(job, now).isLate, operators, now);
         for (size_t t = 0; t < step.tasks.size(); ++t) {
             if (step.tasks[t].phase != Phase::Queued) {
                 continue;
             }
-            Candidate *chosen = chooseWorker(candidates, step.tasks[t], step.wanted.demand);
+            auto *chosen = choice_.choose(candidates, step.wanted.demand, step.tasks[t].avoid);
             if (chosen == nullptr) {
                 return false;
             }
@@ -323,61 +306,6 @@
     return true;
 }
 
-std::vector<WorkDesk::Candidate>
-WorkDesk::findCandidates(const Job &job, const Step &step, const OperatorMemory &operators, MonotonicTime now)
-{
-    const WorkStep &wanted = step.wanted;
-    const auto has = [](const wire::WorkerState &worker, const std::string &label) {
-        return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
-    };
-    const bool isUrgent = operators.isMostUrgent(job.route);
-    const bool isLate = placeOf(job, now).isLate;
-    std::vector<Candidate> candidates;
-    for (auto &[agent, view] : directory_.views()) {
-        const wire::WorkerState &state = view.state;
-        // On a worker that holds only a few such tasks the reserve would cost a whole one.
-        const bool isKept
-            = operators.hasUrgencies() && state.capacity.cpuMillis >= LeastForReserve * wanted.demand.cpuMillis;
-        const double share = isLate ? -options_.lateReserve : isUrgent ? options_.urgentReach : (isKept ? -options_.reserve : 0);
-        const Demand spare{static_cast<int>(state.capacity.cpuMillis * share), 0, 0};
-        if (!wanted.demand.fitsIn(view.room + spare) || !directory_.isUsable(view, now)
-            || state.serviceName != job.route.serviceName || operators.isEvacuated(state.domain)
-            || !has(state, wanted.requiredLabel)) {
-            continue;
-        }
-        const double farness = has(state, wanted.preferredLabel) ? 1.0 : RemoteSlowness;
-        const double liking = AffinityWeight * view.affinity - book_.slowness(state.worker) * farness;
-        candidates.push_back(Candidate{&view, health_.trust(state.worker, now), spare, liking});
-    }
-    return candidates;
-}
-
-/** Fast workers with much room first; one that would make the run wait only if all would. */
-WorkDesk::Candidate *
-WorkDesk::chooseWorker(std::vector<Candidate> &candidates, const Task &task, const Demand &demand)
-{
-    std::uniform_real_distribution<double> jitter(0, TieBreak);
-    Candidate *best = nullptr;
-    double bestScore = 0;
-    for (Candidate &each : candidates) {
-        const WorkerView &view = *each.view;
-        const bool fits = demand.fitsIn(view.room);
-        const bool isTrusted = each.trust == Trust::Full || (each.trust == Trust::Probe && fits);
-        if (!isTrusted || !demand.fitsIn(view.room + each.spare)
-            || std::ranges::find(task.avoid, view.state.worker) != task.avoid.end()) {
-            continue;
-        }
-        const double roomShare = static_cast<double>(view.room.cpuMillis)
-            / std::max(1, static_cast<int>(view.state.capacity.cpuMillis));
-        const double score = (fits ? FitsBonus : 0) + each.liking + RoomWeight * roomShare + jitter(random_);
-        if (best == nullptr || score > bestScore) {
-            best = &each;
-            bestScore = score;
-        }
-    }
-    return best;
-}
-
 void WorkDesk::sendTask(Job &job, int stepIndex, int taskIndex, WorkerView &view, MonotonicTime now)
 {
     Step &step = job.steps[static_cast<size_t>(stepIndex)];
--- a/request/work_desk.h
+++ b/request/work_desk.h
@@ -4,13 +4,13 @@
 #include "request/operator_memory.h"
 #include "request/run_time_book.h"
 #include "request/work_types.h"
+#include "request/worker_choice.h"
 #include "request/worker_directory.h"
 #include "request/worker_health.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,17 +19,7 @@
 
 struct DeskOptions
 {
-    /**
-     * Where queues differ in priority: this share of each worker is kept free for the most urgent
-     * one, whose jobs may also have runs wait at the agent up to this share beyond the worker's room.
-     */
-    double reserve = 0.05;
-    double urgentReach = 0.1;
-    /**
-     * This share of each worker is kept free of jobs that can't be in time any more: an entry whose callers are
-     * few would fill it with them while at others jobs wait that still can.
-     */
-    double lateReserve = 0.25;
+    ChoiceOptions choice;
     Milliseconds patience{60}; ///< A run that waits longer for room at its agent comes back.
     /** Of the time that a caller waits, this share may pass before a job that has not begun is rejected. */
     double waitShare = 0.35;
@@ -43,7 +33,6 @@
     double startMargin = 0.25;
     /** A job goes before another of the next lower priority that could start so much earlier. */
     Milliseconds priorityStep{60};
-    uint64_t seed = 1;
 };
 
 /**
@@ -150,15 +139,6 @@
         bool isWithdrawn = false;
     };
 
-    /** A worker that may run tasks of a step, looked up once for all of them. */
-    struct Candidate
-    {
-        WorkerView *view = nullptr;
-        Trust trust = Trust::Full;
-        Demand spare; ///< So much more than its room may be asked for.
-        double liking = 0; ///< What speaks for it whatever its room is.
-    };
-
     /** Order in the queue. */
     struct Place
     {
@@ -178,9 +158,6 @@
     void placeTasks(const OperatorMemory &operators, MonotonicTime now);
     bool placeJob(Job &job, const OperatorMemory &operators, MonotonicTime now);
     bool isReady(const Job &job, const Step &step) const;
-    std::vector<Candidate>
-    findCandidates(const Job &job, const Step &step, const OperatorMemory &operators, MonotonicTime now);
-    Candidate *chooseWorker(std::vector<Candidate> &candidates, const Task &task, const Demand &demand);
     void sendTask(Job &job, int step, int task, WorkerView &view, MonotonicTime now);
     MonotonicTime overdueAt(const Step &step, const std::string &worker, MonotonicTime orderedAt, int factor) const;
     void withdrawOverdue(MonotonicTime now);
@@ -197,7 +174,7 @@
     WorkerDirectory &directory_;
     RunTimeBook book_;
     WorkerHealth health_;
-    std::mt19937_64 random_;
+    WorkerChoice choice_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
     absl::flat_hash_map<std::string, absl::flat_hash_set<int64_t>> runsOf_; ///< By job, also of ended jobs.
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -202,11 +202,8 @@
     }
 }
 
-void WorkerDirectory::sendTo(WorkerView &view,
-                             const OperatorMemory &operators,
-                             bool wantsOperatorState,
-                             bool isLeaving,
-                             MonotonicTime now)
+void WorkerDirectory::sendTo(
+    WorkerView &view, const OperatorMemory &operators, bool wantsOperatorState, bool isLeaving, MonotonicTime now)
 {
     wire::EntryBatch batch;
     batch.entry = entry_;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -91,10 +91,7 @@
     void addEntry(const std::string &address);
 
     /** Sends what is due to each agent. */
-    void send(const OperatorMemory &operators,
-              bool wantsOperatorState,
-              bool isLeaving,
-              MonotonicTime now);
+    void send(const OperatorMemory &operators, bool wantsOperatorState, bool isLeaving, MonotonicTime now);
 
     bool isUsable(const WorkerView &view, MonotonicTime now) const;
 
@@ -116,11 +113,8 @@
 private:
     void beginSession(WorkerView &view);
     void updateRoom(WorkerView &view);
-    void sendTo(WorkerView &view,
-                const OperatorMemory &operators,
-                bool wantsOperatorState,
-                bool isLeaving,
-                MonotonicTime now);
+    void sendTo(
+        WorkerView &view, const OperatorMemory &operators, bool wantsOperatorState, bool isLeaving, MonotonicTime now);
 
     const std::string entry_;
     const std::string incarnation_;
--- a/request/worker_keeper.cpp
+++ b/request/worker_keeper.cpp
@@ -252,7 +252,7 @@
                                      request.spec,
                                      lease_.extend(now),
                                      fence_,
-                                     request.startBy,
+                                     run.tries > 1 ? MonotonicTime::max() : request.startBy,
                                      timing_.startTimeout * run.tries});
 }
 
@@ -297,6 +297,9 @@
         confirm(run, now);
         return;
     case CallOutcome::NotSent:
+        if (run.tries > 1) {
+            break;
+        }
         finish(key, wire::RunOutcome::NOT_STARTED, "not_sent", now);
         return;
     case CallOutcome::Unresolved:
@@ -309,29 +312,45 @@
             sendStart(run, now);
             return;
         }
-        if (run.phase == Phase::Starting) {
-            run.phase = Phase::Unresolved;
-        }
-        raiseFence(fence_ + 1);
-        sendHold(Milliseconds(0), false, now);
+        leaveOpen(run, now);
         return;
     case CallOutcome::Rejected:
         break;
     }
+    onStartRejected(run, reply, now);
+}
+
+/** Nothing is known of the start until the worker has taken a higher fence. */
+void WorkerKeeper::leaveOpen(Run &run, MonotonicTime now)
+{
+    if (run.phase == Phase::Starting) {
+        run.phase = Phase::Unresolved;
+    }
+    raiseFence(fence_ + 1);
+    sendHold(Milliseconds(0), false, now);
+}
+
+void WorkerKeeper::onStartRejected(Run &run, const WorkerReply &reply, MonotonicTime now)
+{
+    const RunKey key = run.request.key;
+    if (run.tries > 1 && reply.rejection == Rejection::OldAttempt) {
+        confirm(run, now); // The first of the two began, and has ended; the next listing tells how.
+        return;
+    }
+    if (run.tries > 1 && reply.rejection != Rejection::OtherIncarnation) {
+        leaveOpen(run, now); // That the second try came to nothing says nothing of the first.
+        return;
+    }
     const RunRequest request = run.request;
     const bool isStopping = run.phase == Phase::Stopping;
     if (reply.rejection == Rejection::StaleFence) {
         raiseFence(run.fence == fence_ ? fence_ + FenceStep : fence_);
     }
-    if (reply.rejection == Rejection::OldAttempt && run.tries > 1) {
-        confirm(run, now); // The first of the two began, and has ended; the next listing tells how.
-        return;
-    }
     const bool canRetry = reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence;
     if (canRetry && !isStopping && run.retries < MaxAttemptRaises) {
         const int retries = run.retries + 1;
         RunRequest again = request;
-        runs_.erase(found);
+        runs_.erase(key);
         again.key.attempt += reply.rejection == Rejection::OldAttempt ? 1 : 0;
         startOne(again, now);
         runs_[again.key].retries = retries;
--- a/request/worker_keeper.h
+++ b/request/worker_keeper.h
@@ -152,6 +152,8 @@
     bool shouldWatch(MonotonicTime now) const;
     bool isTaskThere(const RunKey &key) const;
     void onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now);
+    void leaveOpen(Run &run, MonotonicTime now);
+    void onStartRejected(Run &run, const WorkerReply &reply, MonotonicTime now);
     void onHoldReply(const Hold &hold, const WorkerReply &reply, MonotonicTime now);
     void onListing(const Hold &hold, const RunListing &listing, MonotonicTime now);
     void onEnd(const ListedEnd &end, MonotonicTime now);
--- a/tests/promises/overload_test.cpp
+++ b/tests/promises/overload_test.cpp
@@ -84,6 +84,17 @@
     CHECK(world.inTime("quote") >= Calm);
 }
 
+TEST_CASE("Burst, and one order of eighteen gets no answer: no task runs twice at once")
+{
+    WorldOptions options = site();
+    options.lateOrders = 0.055;
+    WorkWorld world(options);
+    world.runFor(WarmUp);
+    std::vector<QueueLoad> loads = counterAtRest(Cores, 0.66, Day);
+    addBurst(loads, "", 0.9);
+    play(world, loads, GENERATE(1, 2, 3));
+}
+
 TEST_CASE("Burst to 1.25 times the workers' room: most of what there is room for is in time, no queue starves")
 {
     WorkWorld world(site());
--- a/tests/request/work_desk_test.cpp
+++ b/tests/request/work_desk_test.cpp
@@ -304,6 +304,16 @@
     CHECK(desk.orders(later).size() == 1);
 }
 
+TEST_CASE("Large task: one that needs nearly all of a worker begins there though its job is late")
+{
+    Desk desk;
+    desk.meet("a", "north", 16'000);
+    desk.submit("large", route("q", 0), 1, 60, Start, 15'000);
+    const MonotonicTime later = Start + Milliseconds(200); // Too late to be in time.
+    desk.report("a", 16'000, later);
+    CHECK(desk.orders(later).size() == 1);
+}
+
 TEST_CASE("Evacuation: an evacuated domain gets nothing, the others do")
 {
     Desk desk;
--- a/tests/request/worker_keeper_test.cpp
+++ b/tests/request/worker_keeper_test.cpp
@@ -272,6 +272,32 @@
     CHECK(rest.holds.empty());
 }
 
+TEST_CASE("Lost answers: what becomes of the second try of a start tells nothing of the first")
+{
+    Settled settled;
+    WorkerKeeper &keeper = settled.keeper;
+    keeper.request(runRequest("job", 1), Start);
+    const Calls first(keeper.take());
+    keeper.reply(unanswered(first.starts.at(0).callId), Start + Milliseconds(20));
+    const Calls again(keeper.take());
+    REQUIRE(again.starts.size() == 1);
+    // The first may be at work, so the second must be sent even when its time is over.
+    CHECK(again.starts[0].notAfter > Start + std::chrono::hours(1));
+    WorkerReply second
+        = rejected(again.starts[0].callId, GENERATE(Rejection::NoRoom, Rejection::LeaseOver, Rejection::Unhealthy));
+    if (GENERATE(true, false)) {
+        second.outcome = CallOutcome::NotSent;
+    }
+    keeper.reply(second, Start + Milliseconds(21));
+    const Calls after(keeper.take());
+    CHECK(after.ends.empty());
+    REQUIRE(after.holds.size() >= 1);
+    CHECK(after.holds.back().fence > first.starts[0].fence);
+    // Once the worker has taken the fence, its listing tells.
+    keeper.reply(listed(after.holds.back().callId, {first.starts[0].key}), Start + Milliseconds(22));
+    CHECK(Calls(keeper.take()).ends.empty());
+}
+
 TEST_CASE("A worker that started again under its name has lost all it ran")
 {
     Settled settled;
