--- a/tests/request/worker_keeper_test.cpp
+++ b/tests/request/worker_keeper_test.cpp
@@ -291,7 +291,7 @@
     keeper.reply(second, Start + Milliseconds(21));
     const Calls after(keeper.take());
     CHECK(after.ends.empty());
-    REQUIRE(after.holds.size() >= 1);
+    REQUIRE_FALSE(after.holds.empty());
     CHECK(after.holds.back().fence > first.starts[0].fence);
     // Once the worker has taken the fence, its listing tells.
     keeper.reply(listed(after.holds.back().callId, {first.starts[0].key}), Start + Milliseconds(22));
--- a/tests/support/work_world.cpp
+++ b/tests/support/work_world.cpp
@@ -47,12 +47,12 @@
 } // namespace
 
 WorkWorld::WorkWorld(WorldOptions options)
-    : options_(options)
-    , random_(options.seed)
+    : options_(std::move(options))
+    , random_(options_.seed)
     , now_(std::chrono::hours(1))
-    , entries_(static_cast<size_t>(options.entries))
-    , agents_(static_cast<size_t>(options.agents))
-    , announced_(static_cast<size_t>(options.agents))
+    , entries_(static_cast<size_t>(options_.entries))
+    , agents_(static_cast<size_t>(options_.agents))
+    , announced_(static_cast<size_t>(options_.agents))
 {
     for (int i = 0; i < options_.agents; ++i) {
         workers_.push_back(nullptr);
