--- a/tests/promises/shared_workers_test.cpp
+++ b/tests/promises/shared_workers_test.cpp
@@ -94,8 +94,7 @@
             job = {job.id, "status", 2, 200, 200, 6200};
         }
         const int entry = static_cast<int>(random() % 3);
-        world.after(Milliseconds(i * paceMs),
-                    [=, &world] { world.submit(job, entry, Milliseconds(3000)); });
+        world.after(Milliseconds(i * paceMs), [=, &world] { world.submit(job, entry, Milliseconds(3000)); });
     }
 }
 
