Check target and fence of a call once in the stand-in worker

Start, stop and hold each made the same check, and call() told a wrong target by an outcome left unset. soak.py loses a set that nothing reads. Stand-ins only: the daemon's sources are unchanged.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -74,7 +74,7 @@
 class Deployment:
     def __init__(self, work, base, rng):
         self.work, self.base, self.rng = work, base, rng
-        self.processes, self.dead = {}, set()
+        self.processes = {}
         self.store = base
         self.links = "proxy"  # Where others reach an entry's links.
 
--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -65,32 +65,29 @@
 WorkerReply WorkerModel::call(const WorkerCall &call, MonotonicTime now)
 {
     advance(now);
-    WorkerReply reply;
-    if (const auto *each = std::get_if<StartRun>(&call)) {
-        reply = each->target.id == identity_.id ? start(*each, now) : WorkerReply{};
-    } else if (const auto *each = std::get_if<StopRun>(&call)) {
-        reply = each->target.id == identity_.id ? stop(*each, now) : WorkerReply{};
-    } else if (const auto *each = std::get_if<HoldRuns>(&call)) {
-        reply = each->target.id == identity_.id ? hold(*each, now) : WorkerReply{};
-    }
-    if (reply.outcome == CallOutcome::Unresolved) {
-        reply.outcome = CallOutcome::Rejected;
-        reply.rejection = Rejection::OtherIncarnation;
-    }
-    reply.callId = std::visit([](const auto &each) { return each.callId; }, call);
-    reply.clockMs = clockMs(now);
-    return reply;
+    return std::visit(
+        [&](const auto &each) {
+            WorkerReply reply;
+            reply.outcome = CallOutcome::Rejected;
+            if (each.target.id != identity_.id) {
+                reply.rejection = Rejection::OtherIncarnation;
+            } else if (each.fence < fence_) {
+                reply.rejection = Rejection::StaleFence;
+            } else {
+                fence_ = each.fence;
+                reply = carryOut(each, now);
+            }
+            reply.callId = each.callId;
+            reply.clockMs = clockMs(now);
+            return reply;
+        },
+        call);
 }
 
-WorkerReply WorkerModel::start(const StartRun &call, MonotonicTime now)
+WorkerReply WorkerModel::carryOut(const StartRun &call, MonotonicTime now)
 {
     WorkerReply reply;
     reply.outcome = CallOutcome::Rejected;
-    if (call.fence < fence_) {
-        reply.rejection = Rejection::StaleFence;
-        return reply;
-    }
-    fence_ = call.fence;
     if (running_.contains(call.key)) {
         reply.outcome = CallOutcome::Accepted;
         return reply;
@@ -122,15 +119,9 @@
     return reply;
 }
 
-WorkerReply WorkerModel::stop(const StopRun &call, MonotonicTime now)
+WorkerReply WorkerModel::carryOut(const StopRun &call, MonotonicTime now)
 {
     WorkerReply reply;
-    if (call.fence < fence_) {
-        reply.outcome = CallOutcome::Rejected;
-        reply.rejection = Rejection::StaleFence;
-        return reply;
-    }
-    fence_ = call.fence;
     const auto found = running_.find(call.key);
     if (found != running_.end() && found->second.kind != EndKind::Stopped) {
         found->second.endsAt = std::min(found->second.endsAt, now + StopTime);
@@ -142,15 +133,9 @@
     return reply;
 }
 
-WorkerReply WorkerModel::hold(const HoldRuns &call, MonotonicTime now)
+WorkerReply WorkerModel::carryOut(const HoldRuns &call, MonotonicTime now)
 {
     WorkerReply reply;
-    if (call.fence < fence_) {
-        reply.outcome = CallOutcome::Rejected;
-        reply.rejection = Rejection::StaleFence;
-        return reply;
-    }
-    fence_ = call.fence;
     if (call.leaseEndMs) {
         extend(*call.leaseEndMs, now);
     }
--- a/standins/worker_model.h
+++ b/standins/worker_model.h
@@ -77,9 +77,9 @@
         int cpuMillis = 0;
     };
 
-    WorkerReply start(const StartRun &call, MonotonicTime now);
-    WorkerReply stop(const StopRun &call, MonotonicTime now);
-    WorkerReply hold(const HoldRuns &call, MonotonicTime now);
+    WorkerReply carryOut(const StartRun &call, MonotonicTime now);
+    WorkerReply carryOut(const StopRun &call, MonotonicTime now);
+    WorkerReply carryOut(const HoldRuns &call, MonotonicTime now);
     void extend(int64_t leaseEndMs, MonotonicTime now);
     void end(const RunKey &key, EndKind kind, MonotonicTime at);
     MonotonicTime leaseEnd() const;
