Report crashes of workers and the runs on them to all entries

Change: an agent whose worker refuses connections, is replaced or restarts while it had confirmed runs logs worker_crashed and reports the crash with these runs, their queues and ages to every entry, once a connection; a new entry gets those of the last minute. Entries log worker_crash_recorded with the number of tasks that have crashed a worker before. No decision uses it yet: runs still end only with the worker's lease. Ruled out: taking a refused connection as proof that the runs have ended. A cut that resets connections looks the same.

--- a/connection/http_client.cpp
+++ b/connection/http_client.cpp
@@ -201,6 +201,7 @@
             result.outcome = HttpOutcome::Answered;
         } else {
             result.outcome = transfer->sendCount == 0 ? HttpOutcome::NotSent : HttpOutcome::Uncertain;
+            result.isRefused = code == CURLE_COULDNT_CONNECT;
             result.errorMessage = transfer->isPastDeadline ? "send deadline passed before the request was sent"
                                                            : curl_easy_strerror(code);
         }
--- a/connection/http_client.h
+++ b/connection/http_client.h
@@ -34,6 +34,7 @@
     int status = 0;
     std::string body;
     std::string errorMessage; ///< Why there is no response; empty if there is one.
+    bool isRefused = false; ///< No process accepts connections at the address.
 };
 
 /**
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -52,7 +52,7 @@
 
 std::vector<WorkAgentCommand> WorkAgent::flush(MonotonicTime now)
 {
-    dispatchSupervisorOutput();
+    dispatchSupervisorOutput(now);
     const Report report{supervisor_.state(), supervisor_.freeCapacity()};
     const auto isConnected = [](const auto &each) { return each.second.isConnected; };
     connectedEntries_ = static_cast<int>(std::ranges::count_if(entries_, isConnected));
@@ -65,9 +65,13 @@
     return std::exchange(commands_, {});
 }
 
-void WorkAgent::dispatchSupervisorOutput()
+void WorkAgent::dispatchSupervisorOutput(MonotonicTime now)
 {
     WorkerSupervisor::Output output = supervisor_.takeOutput();
+    for (WorkerCrash &crash : output.crashes) {
+        commands_.emplace_back(Observation{"worker_crashes", "", "crashed", 0});
+        crashLog_.add(std::move(crash), now);
+    }
     for (const EndedRun &ended : output.ends) {
         commands_.emplace_back(Observation{
             "run_seconds", wire::_RunOutcome_VALUES_TO_NAMES.at(ended.outcome), ended.reason, ended.ranMs / 1000.0});
@@ -177,6 +181,7 @@
     request.demand = fromWire(order.demand);
     request.spec = order.spec;
     request.requestId = order.requestId;
+    request.queue = order.queue;
     request.rank = clockUs(now) / 1000 + order.rank; // order.rank is relative, since the clocks differ.
     request.startDeadline = now + Milliseconds(order.patienceMs);
     // An order that was delayed for this long must not start: the entry has abandoned it or is about to.
@@ -245,6 +250,7 @@
     commands_.emplace_back(ResetPeer{address});
     entry.lastConnectAt = now;
     entry.lastStateSent = {};
+    entry.lastCrashSent = 0;
     entry.ends.markAllUnsent();
     send(address, entry, Report{supervisor_.state(), supervisor_.freeCapacity()}, now);
 }
@@ -334,7 +340,8 @@
     if (now - entry.lastSentAt < options_.standbyUpdateInterval) {
         return false;
     }
-    return report.freeCapacity.takesRuns != entry.lastFreeCapacitySent.takesRuns
+    return entry.lastCrashSent < crashLog_.lastNumber()
+        || report.freeCapacity.takesRuns != entry.lastFreeCapacitySent.takesRuns
         || entry.wasLeaving != drainingSince_.has_value() || report.worker != entry.lastStateSent;
 }
 
@@ -355,7 +362,8 @@
     // against the free capacity.
     const bool isCapacityUpdateDue
         = report.freeCapacity != entry.lastFreeCapacitySent && elapsed >= capacityUpdateDelay(entry, report);
-    if (entry.ends.hasUnsent() || entry.isAskedForState || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue
+    if (entry.ends.hasUnsent() || entry.lastCrashSent < crashLog_.lastNumber() || entry.isAskedForState
+        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue
         || isOperatorStateDue(entry, now)) {
         send(address, entry, report, now);
     }
@@ -386,6 +394,8 @@
     batch.cleared = supervisor_.isReconciled();
     batch.connectedEntries = connectedEntries_;
     batch.wantsOperatorState = std::exchange(entry.isAskedForState, false);
+    batch.crashes = crashLog_.reportsAfter(entry.lastCrashSent, now);
+    entry.lastCrashSent = crashLog_.lastNumber();
     batch.leaving = drainingSince_.has_value();
     entry.wasLeaving = batch.leaving;
     entry.lastSentAt = now;
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "request/crash_log.h"
 #include "request/entry_command.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
@@ -115,6 +116,7 @@
         Milliseconds reconnectDelay{0};
         wire::WorkerState lastStateSent; ///< Last state sent over the current connection.
         wire::WorkerRoom lastFreeCapacitySent;
+        int64_t lastCrashSent = 0; ///< Number of the newest crash sent over the current connection.
         bool isConnected = false; ///< The entry has answered over the current connection.
         bool isStandby = false; ///< The entry has no runs here, and orders none until it ends the standby.
         bool wantsOperatorState = false; ///< The entry can't reach the store.
@@ -145,7 +147,7 @@
     int64_t newestKnownPosition() const;
     void askForOperatorState(MonotonicTime now);
     bool isStandbyUpdateDue(const Entry &entry, const Report &report, MonotonicTime now) const;
-    void dispatchSupervisorOutput();
+    void dispatchSupervisorOutput(MonotonicTime now);
     void sendIfDue(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
     void send(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
     bool isEntryAlive(const Entry &entry, MonotonicTime now) const;
@@ -155,6 +157,7 @@
 
     const WorkAgentOptions options_;
     WorkerSupervisor supervisor_;
+    CrashLog crashLog_;
     OperatorStateCache operatorStateCache_;
     std::map<std::string, Entry> entries_; ///< By address.
     int connectedEntries_ = 0; ///< As of the last flush.
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -180,6 +180,9 @@
     if (!update) {
         return;
     }
+    for (const wire::WorkerCrash &crash : update->crashes) {
+        scheduler_.handleWorkerCrash(update->agent, crash, now);
+    }
     for (const wire::RunEnd &end : update->ends) {
         scheduler_.handleRunEnd(update->agent, end, now);
     }
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -354,6 +354,7 @@
     order.runNumber = ++lastRunNumber_;
     order.jobId = job.id;
     order.requestId = job.requestId;
+    order.queue = job.route.name;
     order.stepIndex = stepIndex;
     order.taskIndex = taskIndex;
     order.attempt = static_cast<int>(task.attempt);
@@ -452,6 +453,23 @@
     }
 }
 
+void WorkScheduler::handleWorkerCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now)
+{
+    if (!crashes_.record(crash, now)) {
+        return;
+    }
+    const auto isRepeated = [this](const wire::CrashedRun &run) {
+        return crashes_.countCrashes(run.jobId, run.stepIndex, run.taskIndex) > 1;
+    };
+    out_.log(LogEvent::Level::Warning,
+             "worker_crash_recorded",
+             {{"agent", agent},
+              {"worker", crash.worker},
+              {"ago_ms", absl::StrCat(crash.agoMs)},
+              {"runs", absl::StrCat(crash.runs.size())},
+              {"repeated_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isRepeated))}});
+}
+
 void WorkScheduler::endRun(
     int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now)
 {
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "request/crash_tracker.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
@@ -71,6 +72,9 @@
     /** Handles the loss of all runs at the agent that belong to sessions before @p session. */
     void handleLostRuns(const std::string &agent, int64_t session, MonotonicTime now);
 
+    /** Records a crash of a worker, whichever entry ordered the runs on it. */
+    void handleWorkerCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now);
+
     /** Dispatches tasks to workers with free capacity and rejects jobs that waited too long. */
     void schedule(const OperatorStateCache &operatorState, MonotonicTime now);
 
@@ -183,6 +187,7 @@
     WorkerDirectory &directory_;
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
+    CrashTracker crashes_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -90,6 +90,7 @@
     }
     AgentUpdate update;
     update.agent = batch.agent;
+    update.crashes = batch.crashes;
     view.lastMessageAt = now;
     view.lastAgentTimeUs = batch.sentAtUs;
     isSubsetOutdated_ = isSubsetOutdated_ || view.isLeaving != batch.leaving || batch.__isset.worker;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -85,6 +85,7 @@
     std::vector<wire::RunEnd> ends; ///< Without those received before.
     std::optional<int64_t> firstLiveSession; ///< No runs of earlier sessions are left.
     std::optional<wire::OperatorState> operatorState;
+    std::vector<wire::WorkerCrash> crashes; ///< Possibly reported before.
 };
 
 /** An agent that was silent for too long; none of its runs of sessions before firstLiveSession is left. */
--- a/request/worker_protocol.h
+++ b/request/worker_protocol.h
@@ -147,6 +147,7 @@
     std::optional<int64_t> clockMs;
     std::optional<RunListing> listing; ///< Set if a PollRuns call was accepted.
     std::string errorMessage; ///< Used in logs only.
+    bool isRefused = false; ///< No process accepts connections at the worker's address.
 };
 
 /** The name of a rejection in logs and in the reasons of ended runs. */
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -69,6 +69,7 @@
         return;
     }
     if (announcement.identity.id != worker_->identity.id) {
+        reportCrash("worker_replaced", now);
         dropAllRuns("worker_replaced", now);
         adoptWorker(announcement, now);
         return;
@@ -102,6 +103,8 @@
         {{"worker", worker_->identity.id},
          {"start_time_ms", absl::StrCat(startTimeMs)},
          {"runs", absl::StrCat(runs_.size())}});
+    reportCrash("worker_restarted", now);
+    isCrashReported_ = false;
     worker_->identity.startTimeMs = startTimeMs;
     worker_->sequence = 0;
     restartDetectedAt_ = now;
@@ -119,6 +122,7 @@
 void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     worker_ = announcement;
+    isCrashReported_ = false;
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
     lease_.reset();
@@ -150,6 +154,34 @@
     isReconciled_ = false;
 }
 
+/** Reports the confirmed runs as those under which the worker crashed. Draws no conclusion on when they end. */
+void WorkerSupervisor::reportCrash(const std::string &evidence, MonotonicTime now)
+{
+    if (isCrashReported_ || worker_->leaving) {
+        return;
+    }
+    WorkerCrash crash{worker_->identity, now, {}};
+    for (const auto &[key, run] : runs_) {
+        if (run.isConfirmed) {
+            crash.runs.push_back(CrashedRun{key, run.request.queue, millisecondsBetween(run.confirmedAt, now)});
+        }
+    }
+    if (crash.runs.empty()) {
+        return;
+    }
+    isCrashReported_ = true;
+    const auto youngest = std::ranges::min_element(crash.runs, {}, &CrashedRun::ageMs);
+    log(LogEvent::Level::Warning,
+        "worker_crashed",
+        {{"worker", crash.worker.id},
+         {"evidence", evidence},
+         {"runs", absl::StrCat(crash.runs.size())},
+         {"youngest_run", describe(youngest->key)},
+         {"youngest_queue", youngest->queue},
+         {"youngest_ms", absl::StrCat(youngest->ageMs)}});
+    output_.crashes.push_back(std::move(crash));
+}
+
 void WorkerSupervisor::dropAllRuns(const std::string &reason, MonotonicTime now)
 {
     while (!runs_.empty()) {
@@ -280,6 +312,9 @@
     if (reply.clockMs) {
         lease_.observeClock(*reply.clockMs, now);
     }
+    if (reply.isRefused && worker_) {
+        reportCrash("connection_refused", now);
+    }
     if (const auto start = startCalls_.find(reply.callId); start != startCalls_.end()) {
         const RunKey key = start->second;
         startCalls_.erase(start);
@@ -592,7 +627,7 @@
             {{"worker", worker_->identity.id},
              {"runs", absl::StrCat(runs_.size())},
              {"silent_ms", absl::StrCat(millisecondsBetween(lastReplyAt_, now))}});
-        dropAllRuns("lease_lapsed", now);
+        dropAllRuns(isCrashReported_ ? "worker_crashed" : "lease_lapsed", now);
         raiseFence(fence_ + 1);
         requiredFence_ = fence_;
         isReconciled_ = false;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "request/crash_log.h"
 #include "request/log_event.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
@@ -32,6 +33,7 @@
     Demand demand;
     std::string spec;
     std::string requestId; ///< Used in logs only.
+    std::string queue; ///< Of the job; named in reports of crashes.
     int64_t rank = 0; ///< Lower starts first.
     MonotonicTime startDeadline; ///< Rejected if it could not be started by then.
 };
@@ -74,6 +76,7 @@
     {
         std::vector<WorkerCall> calls;
         std::vector<EndedRun> ends;
+        std::vector<WorkerCrash> crashes;
         std::vector<LogEvent> logs;
     };
 
@@ -147,6 +150,7 @@
     void adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
     void handleRestart(int64_t startTimeMs, MonotonicTime now);
     void dropAllRuns(const std::string &reason, MonotonicTime now);
+    void reportCrash(const std::string &evidence, MonotonicTime now);
     void startQueuedRuns(MonotonicTime now);
     void rejectOverdueRuns(MonotonicTime now);
     void startRun(RunRequest request, MonotonicTime now);
@@ -174,6 +178,7 @@
 
     const WorkerTiming timing_;
     std::optional<WorkerAnnouncement> worker_;
+    bool isCrashReported_ = false; ///< Of the current process of the worker.
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
     MonotonicTime lastAnnouncementAt_;
     MonotonicTime lastReplyAt_;
--- a/tests/request/work_agent_test.cpp
+++ b/tests/request/work_agent_test.cpp
@@ -301,3 +301,28 @@
     }
     CHECK(fixture.flushMessages(Start + Milliseconds(600)).at(3).operatorState.position == 5);
 }
+
+TEST_CASE("A crash of the worker is reported once to each connected entry, and again over a new connection")
+{
+    ConnectedAgent fixture;
+    fixture.standbyEntries.insert(4);
+    fixture.deliverBatch(4, {}, Start + Milliseconds(10));
+    fixture.placeOrder(0, 6000, Start + Milliseconds(20));
+    WorkerReply refused;
+    refused.callId = fixture.polls.back().callId;
+    refused.isRefused = true;
+    const MonotonicTime crashed = Start + Milliseconds(400);
+    fixture.agent.handle(refused, crashed);
+    const auto reports = fixture.flushMessages(crashed);
+    REQUIRE(reports.size() == Entries);
+    for (const auto &[entry, message] : reports) {
+        REQUIRE(message.crashes.size() == 1);
+        CHECK(message.crashes[0].runs.at(0).jobId == "job-1");
+    }
+    for (const auto &[entry, message] : fixture.flushMessages(crashed + Milliseconds(200))) {
+        CHECK(message.crashes.empty());
+    }
+    fixture.agent.handle(PeerClosed{addressOf(3)}, crashed + Milliseconds(300));
+    fixture.agent.handle(Tick{}, crashed + Milliseconds(300));
+    CHECK(fixture.flushMessages(crashed + Milliseconds(300)).at(3).crashes.size() == 1);
+}
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -291,6 +291,8 @@
     9: i32 patienceMs = 0,
     /** The request that the run belongs to; for logs. */
     10: string requestId,
+    /** The queue of the job, named again in reports of crashes. */
+    11: string queue,
 }
 
 /** Entry to agent: stop the run, or drop it if it is waiting. Its end is reported as usual. */
@@ -323,6 +325,26 @@
     4: i32 ranMs = 0,
 }
 
+/** A run that was on a worker when the worker crashed. */
+struct CrashedRun {
+    1: string jobId,
+    2: i32 stepIndex,
+    3: i32 taskIndex,
+    4: string queue,
+    /** Time from its start to the crash, in milliseconds. */
+    5: i32 ageMs = 0,
+}
+
+/** Agent to all entries: its worker crashed while runs were on it. */
+struct WorkerCrash {
+    1: string worker,
+    /** Start time of the crashed process in Unix milliseconds. */
+    2: i64 bornMs = 0,
+    /** Time since the crash, in milliseconds. */
+    3: i32 agoMs = 0,
+    4: list<CrashedRun> runs,
+}
+
 /** One queue of jobs: the requests that match it, and its service level. */
 struct Route {
     1: string name,
@@ -401,6 +423,8 @@
     15: i32 connectedEntries = 0,
     /** The agent asks for the entry's operator state, which is newer than its own, on behalf of another entry. */
     16: bool wantsOperatorState = false,
+    /** Crashes of the worker that were not sent over this connection yet. */
+    17: list<WorkerCrash> crashes,
 }
 
 /** Exactly one field is set. */
