Count lost runs, not orders, before a job is given up, and interrupt it

Cause: a task's attempt number was compared with the limit of 8; it rises with each order, also with those that an agent returns unstarted, which is the rule while few workers are left. Nor is a lost run a failed one. Change: lost runs are counted by themselves; at the limit the answer is interrupted, and the caller may send again. Evidence: both tests were red before: failed after nine returned orders and one loss, and failed after eight losses.

--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** A job fails if the run of a task is lost at this attempt or later: it can't be served at present. */
-constexpr int64_t MaxAttempts = 8;
+/** A job is interrupted once so many runs of a task were lost: it can't be served at present. */
+constexpr int MaxLostRuns = 8;
 /** A dispatch pass ends after this many jobs that have a task no worker can take. */
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
@@ -513,8 +513,8 @@
         requeueTask(job, task, now);
         return;
     case wire::RunOutcome::GONE:
-        if (task.attempt >= MaxAttempts) {
-            finishJob(run.jobId, ResponseStatus::Failed, "lost_too_often", now);
+        if (++task.lostRuns >= MaxLostRuns) {
+            finishJob(run.jobId, ResponseStatus::Interrupted, "lost_too_often", now);
             return;
         }
         requeueTask(job, task, now);
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -107,6 +107,7 @@
         TaskState state = TaskState::Queued;
         int64_t attempt = 0;
         int failures = 0;
+        int lostRuns = 0; ///< Runs that may have started and no longer exist.
         std::vector<std::string> excludedWorkers; ///< Workers on which the task failed or was overdue.
     };
 
--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -414,3 +414,44 @@
     REQUIRE(sent.size() == 1);
     CHECK(sent[0].first == "b");
 }
+
+TEST_CASE("Orders returned unstarted: a job that was lost once is dispatched again, and not answered as failed")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.submit("job", route("quote", 0), 1, 60);
+    MonotonicTime now = Start;
+    for (int i = 0; i < 10; ++i) {
+        const auto orders = fixture.takeOrders(now);
+        REQUIRE(orders.size() == 1);
+        now += Milliseconds(30);
+        const bool isLast = i == 9;
+        fixture.endRun("a",
+                       orders[0].second.runNumber,
+                       isLast ? wire::RunOutcome::GONE : wire::RunOutcome::NOT_STARTED,
+                       now,
+                       0);
+        fixture.reportCapacity("a", 16'000, now);
+    }
+    CHECK(fixture.scheduler.takeResponses().empty());
+    CHECK(fixture.takeOrders(now).size() == 1);
+}
+
+TEST_CASE("A job whose runs are lost too often is interrupted: no run of it has failed")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.submit("job", route("quote", 0), 1, 60);
+    MonotonicTime now = Start;
+    std::vector<CallResponse> responses;
+    for (int i = 0; i < 8 && responses.empty(); ++i) {
+        const auto orders = fixture.takeOrders(now);
+        REQUIRE(orders.size() == 1);
+        now += Milliseconds(30);
+        fixture.endRun("a", orders[0].second.runNumber, wire::RunOutcome::GONE, now, 0);
+        fixture.reportCapacity("a", 16'000, now);
+        responses = fixture.scheduler.takeResponses();
+    }
+    REQUIRE(responses.size() == 1);
+    CHECK(responses[0].status == ResponseStatus::Interrupted);
+}
