--- a/standins/worker_model.cpp
+++ b/standins/worker_model.cpp
@@ -15,18 +15,23 @@
 // Limits of the platform.
 constexpr int64_t MaxLeaseMs = 1000; ///< A lease ends at most this long after the call that extends it.
 constexpr Milliseconds StopDuration{50}; ///< A stopped run ends after this time at the latest.
+constexpr Milliseconds CrashDelay{10}; ///< From the start of a task that crashes its worker to the crash.
 
 struct RunSpec
 {
     int runMs = 0;
     int cpuMillis = 0;
+    int crashingTask = -1; ///< Index of the task that crashes its worker; -1 if none does.
 };
 
 RunSpec parseSpec(const std::string &text)
 {
-    const std::pair<std::string, std::string> parts = absl::StrSplit(text, absl::MaxSplits('/', 1));
+    const std::vector<std::string> parts = absl::StrSplit(text, '/');
     RunSpec spec;
-    if (!absl::SimpleAtoi(parts.first, &spec.runMs) || !absl::SimpleAtoi(parts.second, &spec.cpuMillis)) {
+    if (parts.size() < 2 || !absl::SimpleAtoi(parts[0], &spec.runMs) || !absl::SimpleAtoi(parts[1], &spec.cpuMillis)) {
+        return RunSpec{};
+    }
+    if (parts.size() > 2 && !absl::SimpleAtoi(parts[2], &spec.crashingTask)) {
         return RunSpec{};
     }
     return spec;
@@ -40,9 +45,10 @@
 
 } // namespace
 
-std::string makeSpec(int runMs, int cpuMillis)
+std::string makeSpec(int runMs, int cpuMillis, std::optional<int> crashingTask)
 {
-    return absl::StrCat(runMs, "/", cpuMillis);
+    const std::string spec = absl::StrCat(runMs, "/", cpuMillis);
+    return crashingTask ? absl::StrCat(spec, "/", *crashingTask) : spec;
 }
 
 WorkerModel::WorkerModel(WorkerIdentity identity, double clockRate, MonotonicTime startTime)
@@ -107,6 +113,10 @@
     const Milliseconds runTime(failsNewRuns ? 1 : std::lround(spec.runMs * runTimeFactor));
     run.endTime = hangsNewRuns ? MonotonicTime::max() : now + runTime;
     run.cpuMillis = spec.cpuMillis;
+    if (spec.crashingTask == call.key.task) {
+        run.crashTime = now + CrashDelay;
+        run.endTime = MonotonicTime::max();
+    }
     run.kind = failsNewRuns ? EndKind::Failed : EndKind::Done;
     history_.push_back(RunInterval{call.key, identity_.id, now, MonotonicTime::max(), false});
     activeRuns_[call.key] = run;
@@ -156,6 +166,17 @@
     leaseEndMs_ = std::max(leaseEndMs_, std::min(leaseEndMs, clockMs(now) + MaxLeaseMs));
 }
 
+std::optional<MonotonicTime> WorkerModel::crashTime() const
+{
+    std::optional<MonotonicTime> first;
+    for (const auto &[key, run] : activeRuns_) {
+        if (run.crashTime && (!first || *run.crashTime < *first)) {
+            first = run.crashTime;
+        }
+    }
+    return first;
+}
+
 MonotonicTime WorkerModel::nextEndTime() const
 {
     if (activeRuns_.empty()) {
--- a/standins/worker_model.h
+++ b/standins/worker_model.h
@@ -4,6 +4,7 @@
 #include "request/worker_protocol.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,9 @@
     /** Ends all runs as EndKind::Broken, as when the worker process dies. Discard the model afterwards. */
     void crash(MonotonicTime now);
 
+    /** When a run crashes this worker; nothing if no active run does. The owner calls crash() then. */
+    std::optional<MonotonicTime> crashTime() const;
+
     /** Time of the next run end, by completion, stop or lease expiry; MonotonicTime::max() if nothing runs. */
     MonotonicTime nextEndTime() const;
 
@@ -79,6 +83,7 @@
         MonotonicTime endTime;
         EndKind kind = EndKind::Done;
         int cpuMillis = 0;
+        std::optional<MonotonicTime> crashTime;
     };
 
     WorkerReply execute(const StartRun &call, MonotonicTime now);
@@ -101,7 +106,10 @@
     int peakCpuMillis_ = 0;
 };
 
-/** Returns the spec of a task, "RUN_MS/CPU_MILLIS". */
-std::string makeSpec(int runMs, int cpuMillis);
+/**
+ * Returns the spec of a job's tasks, "RUN_MS/CPU_MILLIS" or "RUN_MS/CPU_MILLIS/TASK" if the task with this index
+ * crashes its worker.
+ */
+std::string makeSpec(int runMs, int cpuMillis, std::optional<int> crashingTask = std::nullopt);
 
 } // namespace marjoramferry
--- a/tests/support/queue_load.cpp
+++ b/tests/support/queue_load.cpp
@@ -70,6 +70,9 @@
             job.tasks = std::clamp(static_cast<int>(std::lround(load.tasks * factor(random))), 1, MaxTasks);
             job.runMs = std::clamp(static_cast<int>(std::lround(load.runMs * factor(random))), 1, load.runMs * 9 / 5);
             job.estimateMs = std::max(1, static_cast<int>(std::lround(job.runMs * factor(random))));
+            if (load.crashingShare > 0 && std::bernoulli_distribution(load.crashingShare)(random)) {
+                job.crashingTask = std::uniform_int_distribution<int>(0, job.tasks - 1)(random);
+            }
             job.cpuMillis = std::min(static_cast<int>(CpuMillis * cpuFactor(random)), CpuMillis * 3 / 2);
             const int entry = entryOf(random);
             // A deadline shorter than the run time on a slow worker would fail whatever the dispatcher does.
--- a/tests/support/queue_load.h
+++ b/tests/support/queue_load.h
@@ -16,6 +16,7 @@
     Milliseconds to{0};
     int tasks = 0; ///< Mean number of tasks per job.
     int runMs = 0; ///< Mean run time of a task.
+    double crashingShare = 0; ///< Fraction of the jobs with one task that crashes its worker.
 };
 
 /** Constant load of the three queues for @p duration that keeps a fraction @p utilization of @p cores busy. */
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds ResubmitDelay{1300};
 constexpr Microseconds NodeLatency{1400};
 constexpr Microseconds WorkerLatency{100};
+/** Time from a crash of a worker to the start of the next one. */
+constexpr Milliseconds CrashDowntime{3300};
 constexpr const char *Service = "orders";
 constexpr const char *Host = "desk.example";
 
@@ -304,14 +306,26 @@
     const bool isLate = std::holds_alternative<StartRun>(call) && !isLost && drawBool(options_.lateOrderShare);
     if (isLate || isLost) {
         std::uniform_int_distribution<int> delay(2000, 6000);
-        schedule(Milliseconds(isLost ? 0 : delay(random_)), [this, agent, call] { worker(agent).call(call, now_); });
         const auto &start = std::get<StartRun>(call);
+        schedule(Milliseconds(isLost ? 0 : delay(random_)), [this, agent, start] {
+            if (workers_.at(static_cast<size_t>(agent))) {
+                executeStart(agent, start);
+            }
+        });
         WorkerReply noReply;
         noReply.callId = start.callId;
         schedule(start.timeout, [this, agent, generation, noReply] { deliverToAgent(agent, generation, noReply); });
         return;
     }
     actions_[{now_ + WorkerLatency, ++lastActionId_}] = [this, agent, generation, call] {
+        if (!workers_.at(static_cast<size_t>(agent))) {
+            refuseCall(agent, generation, call);
+            return;
+        }
+        if (const auto *start = std::get_if<StartRun>(&call)) {
+            deliverToAgent(agent, generation, executeStart(agent, *start));
+            return;
+        }
         if (const auto *poll = std::get_if<PollRuns>(&call)) {
             worker(agent).call(call, now_);
             respondToPoll(agent, generation, *poll, now_ + poll->wait);
@@ -321,8 +335,56 @@
     };
 }
 
+WorkerReply WorkSimulation::executeStart(int agent, const StartRun &start)
+{
+    WorkerModel &model = worker(agent);
+    const WorkerReply reply = model.call(start, now_);
+    if (const auto crashTime = model.crashTime()) {
+        actions_[{*crashTime, ++lastActionId_}] = [this, agent, key = start.key] { crashIfDue(agent, key); };
+    }
+    return reply;
+}
+
+void WorkSimulation::crashIfDue(int agent, const RunKey &key)
+{
+    const auto &current = workers_.at(static_cast<size_t>(agent));
+    const auto crashTime = current ? current->crashTime() : std::nullopt;
+    if (crashTime && *crashTime <= now_) {
+        ++crashesByTask_[{key.jobId, key.task}];
+        crashWorker(agent, CrashDowntime);
+    }
+}
+
+void WorkSimulation::crashWorker(int agent, Milliseconds downtime)
+{
+    auto &current = workers_.at(static_cast<size_t>(agent));
+    if (!current) {
+        return;
+    }
+    current->crash(now_);
+    deadWorkers_.emplace_back(agent, std::move(current));
+    schedule(downtime, [this, agent] {
+        if (!workers_.at(static_cast<size_t>(agent))) {
+            restartWorker(agent, false);
+        }
+    });
+}
+
+void WorkSimulation::refuseCall(int agent, int64_t generation, const WorkerCall &call)
+{
+    WorkerReply refused;
+    refused.callId = std::visit([](const auto &each) { return each.callId; }, call);
+    refused.outcome = CallOutcome::NotSent;
+    refused.isRefused = true;
+    deliverToAgent(agent, generation, refused);
+}
+
 void WorkSimulation::respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until)
 {
+    if (!workers_.at(static_cast<size_t>(agent))) {
+        refuseCall(agent, generation, poll);
+        return;
+    }
     WorkerModel &model = worker(agent);
     model.advance(now_);
     if (model.hasEndsAfter(poll.acknowledgedEnd) || now_ >= until) {
@@ -357,7 +419,7 @@
     current->runTimeFactor = 1 / options_.speedFactors.at(static_cast<size_t>(agent) % options_.speedFactors.size());
     announcementSequences_.at(static_cast<size_t>(agent)) = 0;
     schedule(Milliseconds(agent + 1), [this, agent, startTimeMs] {
-        if (worker(agent).identity().startTimeMs == startTimeMs) {
+        if (workers_.at(static_cast<size_t>(agent)) && worker(agent).identity().startTimeMs == startTimeMs) {
             announceWorker(agent);
         }
     });
@@ -377,7 +439,7 @@
     deliverToAgent(agent, agents_.at(static_cast<size_t>(agent)).generation, announcement);
     const int64_t startTimeMs = model.identity().startTimeMs;
     schedule(AnnouncementInterval, [this, agent, startTimeMs] {
-        if (worker(agent).identity().startTimeMs == startTimeMs) {
+        if (workers_.at(static_cast<size_t>(agent)) && worker(agent).identity().startTimeMs == startTimeMs) {
             announceWorker(agent);
         }
     });
@@ -403,7 +465,7 @@
     step.demand = {job.cpuMillis, 64, 0};
     step.estimate = Milliseconds(job.estimateMs);
     call.job.steps = {step};
-    call.job.spec = makeSpec(job.runMs, job.cpuMillis);
+    call.job.spec = makeSpec(job.runMs, job.cpuMillis, job.crashingTask);
     resubmissions_[token] = {entry, [=, this] { sendCall(job, (entry + 1) % options_.entries, deadlineAt); }};
     const int64_t generation = entries_.at(static_cast<size_t>(entry)).generation;
     if (!entries_.at(static_cast<size_t>(entry)).core) {
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -42,6 +42,7 @@
     int runMs = 0; ///< Run time of each task on a worker of speed 1.
     int estimateMs = 0; ///< The caller's estimate of runMs.
     int cpuMillis = 0; ///< Demand of each task, in thousandths of a core.
+    std::optional<int> crashingTask{}; ///< Index of the task that crashes each worker that starts it.
 };
 
 /** A caller's submission of a job and its outcome. */
@@ -84,12 +85,20 @@
     void blockMessages(int entry, int agent, bool toAgent, bool toEntry, Milliseconds duration);
     /** Kills the worker of an agent and starts another one, under the same id if @p keepsId. */
     void restartWorker(int agent, bool keepsId);
+    /** Kills the worker of an agent; another one starts after @p downtime. Until then, calls to it are refused. */
+    void crashWorker(int agent, Milliseconds downtime);
     WorkerModel &worker(int agent);
     int entryCount() const
     {
         return options_.entries;
     }
 
+    /** For each task that crashed a worker, by job and index: how many. */
+    const std::map<std::pair<std::string, int>, int> &crashesByTask() const
+    {
+        return crashesByTask_;
+    }
+
     /** Messages between entries and agents since the start. */
     int64_t messagesSent() const
     {
@@ -146,6 +155,9 @@
     void sendToAgent(LinkId link, Message message);
     void closeConnections(const std::function<bool(const Connection &)> &matches);
     void callWorker(int agent, const WorkerCall &call);
+    WorkerReply executeStart(int agent, const StartRun &start);
+    void crashIfDue(int agent, const RunKey &key);
+    void refuseCall(int agent, int64_t generation, const WorkerCall &call);
     void respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until);
     void announceWorker(int agent);
     void tickEntry(int entry, int64_t generation);
@@ -164,7 +176,7 @@
     std::map<std::pair<MonotonicTime, int64_t>, std::function<void()>> actions_;
     std::vector<Node<WorkEntry>> entries_;
     std::vector<Node<WorkAgent>> agents_;
-    std::vector<std::unique_ptr<WorkerModel>> workers_; ///< Index is the agent's.
+    std::vector<std::unique_ptr<WorkerModel>> workers_; ///< Index is the agent's. Null while the worker is down.
     std::vector<std::pair<int, std::unique_ptr<WorkerModel>>> deadWorkers_; ///< With their agent's index.
     std::vector<int64_t> announcementSequences_; ///< Index is the agent's.
     std::map<LinkId, Connection> connections_;
@@ -173,6 +185,7 @@
     std::vector<CallRecord> calls_; ///< Index is the token minus 1.
     /** Key is the token; the entry of the call, and the action that sends the call again. */
     std::map<uint64_t, std::pair<int, std::function<void()>>> resubmissions_;
+    std::map<std::pair<std::string, int>, int> crashesByTask_;
     LinkId lastLink_ = 0;
     int64_t lastGeneration_ = 0;
     int64_t messagesSent_ = 0;
--- a/tests/support/work_simulation_results.cpp
+++ b/tests/support/work_simulation_results.cpp
@@ -62,7 +62,9 @@
         }
     };
     for (size_t i = 0; i < workers_.size(); ++i) {
-        checkWorker(*workers_[i], capacityOf(static_cast<int>(i)));
+        if (workers_[i]) {
+            checkWorker(*workers_[i], capacityOf(static_cast<int>(i)));
+        }
     }
     for (const auto &[agent, model] : deadWorkers_) {
         checkWorker(*model, capacityOf(agent));
