Give a task up once two workers have crashed under it, whichever entries ordered the runs

Cause: a lost run was ordered again wherever there was room. Nothing counted crashes by task, and what an entry could have counted was lost with it or with the next submission of the job at another entry. Class of fault: a retry without a budget that outlives the process that retries. Change: entries count the crashes that agents report by job, step and task; at two the job is shown as failed, at once and also when it is submitted again elsewhere. Only confirmed runs count, so an order that never started does not.

--- a/request/crash_tracker.cpp
+++ b/request/crash_tracker.cpp
@@ -36,6 +36,16 @@
     return found == counts_.end() ? 0 : found->second;
 }
 
+int CrashTracker::mostCrashes(const std::string &jobId) const
+{
+    int most = 0;
+    for (auto each = counts_.lower_bound(RunKey{jobId, 0, 0, 0}); each != counts_.end() && each->first.jobId == jobId;
+         ++each) {
+        most = std::max(most, each->second);
+    }
+    return most;
+}
+
 void CrashTracker::forgetOldest()
 {
     for (const RunKey &task : crashes_.front().tasks) {
--- a/request/crash_tracker.h
+++ b/request/crash_tracker.h
@@ -25,6 +25,9 @@
     /** The number of workers that crashed while the task was running on them. */
     int countCrashes(const std::string &jobId, int step, int task) const;
 
+    /** The same for the task of the job with the most crashes. */
+    int mostCrashes(const std::string &jobId) const;
+
 private:
     using Process = std::pair<std::string, int64_t>; ///< Worker and its start time.
 
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -12,6 +12,8 @@
 
 /** A job is interrupted once so many runs of a task were lost: it can't be served at present. */
 constexpr int MaxLostRuns = 8;
+/** A task is given up, and its job fails, once so many workers crashed while they ran it. */
+constexpr int MaxCrashes = 2;
 /** A dispatch pass ends after this many jobs that have a task no worker can take. */
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
@@ -114,6 +116,10 @@
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
+    if (hasTaskGivenUp(jobId)) {
+        finishJob(jobId, ResponseStatus::Failed, "crashes_workers", now);
+        return;
+    }
     if (!isAdmitted) {
         finishJob(jobId, ResponseStatus::Rejected, "overload", now);
         return;
@@ -458,8 +464,8 @@
     if (!crashes_.record(crash, now)) {
         return;
     }
-    const auto isRepeated = [this](const wire::CrashedRun &run) {
-        return crashes_.countCrashes(run.jobId, run.stepIndex, run.taskIndex) > 1;
+    const auto isGivenUp = [this](const wire::CrashedRun &run) {
+        return crashes_.countCrashes(run.jobId, run.stepIndex, run.taskIndex) >= MaxCrashes;
     };
     out_.log(LogEvent::Level::Warning,
              "worker_crash_recorded",
@@ -467,7 +473,18 @@
               {"worker", crash.worker},
               {"ago_ms", absl::StrCat(crash.agoMs)},
               {"runs", absl::StrCat(crash.runs.size())},
-              {"repeated_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isRepeated))}});
+              {"repeated_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isGivenUp))}});
+    for (const wire::CrashedRun &run : crash.runs) {
+        if (isGivenUp(run) && jobs_.contains(run.jobId)) {
+            finishJob(run.jobId, ResponseStatus::Failed, "crashes_workers", now);
+        }
+    }
+}
+
+/** Whether a task of the job was given up, perhaps by another entry that the job was submitted to before. */
+bool WorkScheduler::hasTaskGivenUp(const std::string &jobId) const
+{
+    return crashes_.mostCrashes(jobId) >= MaxCrashes;
 }
 
 void WorkScheduler::endRun(
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -163,6 +163,7 @@
     };
 
     static QueuePosition queuePositionOf(const Job &job, MonotonicTime now);
+    bool hasTaskGivenUp(const std::string &jobId) const;
     bool admitJob(Job &job, MonotonicTime now) const;
     Milliseconds expectedWait(const QueuePosition &position) const;
     void updateDrainRate(MonotonicTime now);
--- a/tests/request/crash_tracker_test.cpp
+++ b/tests/request/crash_tracker_test.cpp
@@ -36,6 +36,9 @@
     CHECK(tracker.countCrashes("job", 0, 1) == 3);
     CHECK(tracker.countCrashes("job", 0, 2) == 0);
     CHECK(tracker.countCrashes("other", 0, 1) == 0);
+    CHECK(tracker.mostCrashes("job") == 3);
+    CHECK(tracker.mostCrashes("other") == 0);
+    CHECK(tracker.mostCrashes("a") == 0);
 }
 
 TEST_CASE("Crashes are forgotten after a minute")
