Give queues whose tasks crash workers a group of workers of their own

Cause: every queue uses every worker, and 3.4 crashing jobs a second, each 3.3 s of a worker, take all eleven workers with one crash a job already. Class of fault: no bulkhead between callers that share workers. Change: entries score queues by what ran, and started last, on workers that crashed (CrashSuspicion). A suspect uses a group of the workers, in an order that all entries share, as large as the load of the others permits (QueueIsolation). While the group crashes, a job starts only on a worker that is half free, a task that crashed a worker waits for a quiet second and a spare worker, and a job that cannot be in time, or has no worker left, is rejected at once.

--- /dev/null
+++ b/request/crash_suspicion.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <messages_types.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace marjoramferry {
+
+/**
+ * Estimates which queue's tasks crash their workers.
+ *
+ * A task that crashes its worker usually does so soon after its start. So the queue of the runs that started last
+ * before a crash is more likely the cause, the more so the fewer jobs it has, and a queue without a run on the worker
+ * is not. Each crash changes the score of a queue by the logarithm of this likelihood, relative to a crash that no
+ * task caused. Workers that crash together do so for another reason and count as one crash. A queue with a high score
+ * is a suspect until its score has decayed.
+ */
+class CrashSuspicion
+{
+public:
+    /** Records a job of the queue, for the queue's share of all jobs. */
+    void recordJob(const std::string &queue, MonotonicTime now);
+
+    /** @p isForSuspects tells whether the worker takes only tasks of the suspects, or none of them. */
+    void recordCrash(const wire::WorkerCrash &crash, bool isForSuspects, MonotonicTime now);
+
+    /** Clears suspects whose score has decayed. */
+    void update(MonotonicTime now);
+
+    const std::set<std::string> &suspects() const
+    {
+        return suspects_;
+    }
+
+    double score(const std::string &queue, MonotonicTime now) const;
+
+    /** The queue's share of all jobs. */
+    double shareOfJobs(const std::string &queue, MonotonicTime now) const;
+
+private:
+    /** A value that decays exponentially. */
+    struct Decaying
+    {
+        double value = 0;
+        MonotonicTime at;
+
+        double valueAt(MonotonicTime now, Milliseconds halfLife) const;
+        void set(double newValue, MonotonicTime now);
+    };
+
+    void addSuspect(MonotonicTime now);
+
+    std::map<std::string, Decaying> jobs_; ///< By queue.
+    std::map<std::string, Decaying> scores_; ///< By queue.
+    std::set<std::string> suspects_;
+    MonotonicTime lastCrashAt_;
+};
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/queue_isolation.cpp
@@ -0,0 +1,166 @@
+#include "request/queue_isolation.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace marjoramferry {
+
+namespace {
+
+constexpr Milliseconds UpdateInterval{100};
+/** Longer than a crashed worker is down, since no worker crashes while all of the group are. */
+constexpr Milliseconds CautionTime{5000};
+/** The group is selected once the number of known workers has not changed for this long. */
+constexpr Milliseconds SettlingTime{200};
+/** Time constant of the averages of the load. */
+constexpr double LoadTimeConstantMs = 2000;
+/** Capacity that the other queues keep, and that the isolated ones get at least, as a multiple of their load. */
+constexpr double CapacityMargin = 1.1;
+/** Bound of the group, as a share of the workers' capacity. */
+constexpr double MaxGroupShare = 0.5;
+constexpr XXH64_hash_t GroupSeed = 2;
+
+XXH64_hash_t groupOrder(const std::string &agent)
+{
+    return XXH64(agent.data(), agent.size(), GroupSeed);
+}
+
+double capacityOf(const WorkerView &view)
+{
+    return static_cast<double>(view.state.capacity.cpuMillis);
+}
+
+} // namespace
+
+void QueueIsolation::recordJob(const std::string &queue, double work, MonotonicTime now)
+{
+    suspicion_.recordJob(queue, now);
+    work_[queue] += work;
+}
+
+double QueueIsolation::positionOf(const std::string &agent) const
+{
+    const auto found = positions_.find(agent);
+    return found == positions_.end() ? 0 : static_cast<double>(found->second) / static_cast<double>(group_.size());
+}
+
+void QueueIsolation::recordCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now)
+{
+    suspicion_.recordCrash(crash, positions_.contains(agent), now);
+    if (std::ranges::any_of(crash.runs, [this](const wire::CrashedRun &run) { return isIsolated(run.queue); })) {
+        lastCrashAt_ = std::max(lastCrashAt_, now - Milliseconds(crash.agoMs));
+    }
+    updatedAt_ = MonotonicTime();
+}
+
+bool QueueIsolation::isCautious(MonotonicTime now) const
+{
+    return now - lastCrashAt_ < CautionTime;
+}
+
+bool QueueIsolation::update(const WorkerDirectory &directory,
+                            const OperatorStateCache &operatorState,
+                            MonotonicTime now)
+{
+    if (now - updatedAt_ < UpdateInterval) {
+        return false;
+    }
+    suspicion_.update(now);
+    measureLoad(directory, now);
+    updatedAt_ = now;
+    group_.clear();
+    positions_.clear();
+    if (knownWorkers_ != directory.views().size()) {
+        knownWorkers_ = directory.views().size();
+        knownSince_ = now;
+    }
+    // An entry that starts selects its group once it knows the workers.
+    if (!suspicion_.suspects().empty() && now - knownSince_ >= SettlingTime) {
+        std::map<std::string, Workers> workersByService;
+        for (const auto &[agent, view] : directory.views()) {
+            const bool isEligible = view.link != LocalLink && !view.isLeaving && !view.state.worker.empty()
+                && !operatorState.isEvacuated(view.state.domain);
+            if (isEligible) {
+                workersByService[view.state.serviceName].push_back(&view);
+            }
+        }
+        for (auto &[service, workers] : workersByService) {
+            selectGroup(std::move(workers));
+        }
+    }
+    const bool hasChanged = loggedQueues_ != suspicion_.suspects();
+    loggedQueues_ = suspicion_.suspects();
+    return hasChanged;
+}
+
+/** Measures the load of the active workers, which stand for all. */
+void QueueIsolation::measureLoad(const WorkerDirectory &directory, MonotonicTime now)
+{
+    double capacity = 0;
+    double used = 0;
+    double usedByOthers = 0;
+    const double othersShare = 1 - isolatedShareOfWork();
+    for (const WorkerView *view : directory.activeViews()) {
+        capacity += capacityOf(*view);
+        if (view->reported.takesRuns) {
+            const double usedHere = capacityOf(*view) - static_cast<double>(view->reported.unclaimed.cpuMillis);
+            used += usedHere;
+            usedByOthers += group_.empty() ? usedHere * othersShare : (positions_.contains(view->agent) ? 0 : usedHere);
+        }
+    }
+    const double elapsedMs = std::min(LoadTimeConstantMs, static_cast<double>(millisecondsBetween(measuredAt_, now)));
+    measuredAt_ = now;
+    if (capacity <= 0) {
+        return;
+    }
+    const double weight = 1 - std::exp(-elapsedMs / LoadTimeConstantMs);
+    othersLoad_ += (usedByOthers / capacity - othersLoad_) * weight;
+    if (group_.empty()) {
+        load_ += (used / capacity - load_) * weight;
+        for (auto &[queue, work] : work_) {
+            work *= 1 - weight;
+        }
+    }
+}
+
+double QueueIsolation::isolatedShareOfWork() const
+{
+    double all = 0;
+    double isolated = 0;
+    for (const auto &[queue, work] : work_) {
+        all += work;
+        isolated += isIsolated(queue) ? work : 0;
+    }
+    return all > 0 ? isolated / all : 0;
+}
+
+/** Adds workers to the group as long as the usable ones that are left can carry the other queues. */
+void QueueIsolation::selectGroup(Workers workers)
+{
+    std::ranges::sort(workers, {}, [](const WorkerView *view) { return std::pair(groupOrder(view->agent), view->agent); });
+    double capacity = 0;
+    double usableRest = 0;
+    for (const WorkerView *view : workers) {
+        capacity += capacityOf(*view);
+        usableRest += view->reported.takesRuns ? capacityOf(*view) : 0;
+    }
+    const double neededByOthers = CapacityMargin * othersLoad_ * capacity;
+    const double neededByIsolated = CapacityMargin * load_ * isolatedShareOfWork() * capacity;
+    double groupCapacity = 0;
+    for (const WorkerView *view : workers) {
+        const double afterwards = groupCapacity + capacityOf(*view);
+        usableRest -= view->reported.takesRuns ? capacityOf(*view) : 0;
+        const bool isNeeded = groupCapacity < neededByIsolated || groupCapacity <= 0;
+        if (afterwards > MaxGroupShare * capacity || (usableRest < neededByOthers && !isNeeded)) {
+            return;
+        }
+        groupCapacity = afterwards;
+        positions_[view->agent] = group_.size();
+        group_.push_back(view->agent);
+    }
+}
+
+} // namespace marjoramferry
--- /dev/null
+++ b/request/queue_isolation.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/crash_suspicion.h"
+#include "request/worker_directory.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace marjoramferry {
+
+/**
+ * Keeps queues whose tasks crash their workers away from the others.
+ *
+ * Such queues use only a group of the workers, and the other queues only the rest. All entries order the workers in
+ * the same way and take the group from the start of the order, so their groups differ by few workers. The group is as
+ * large as the load of the other queues permits.
+ */
+class QueueIsolation
+{
+public:
+    /** Records a job and the work of its tasks, in thousandths of a core times milliseconds. */
+    void recordJob(const std::string &queue, double work, MonotonicTime now);
+
+    void recordCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now);
+
+    /** Selects the groups anew if that is due. Returns whether the set of isolated queues has changed. */
+    bool update(const WorkerDirectory &directory, const OperatorStateCache &operatorState, MonotonicTime now);
+
+    bool isIsolated(const std::string &queue) const
+    {
+        return suspicion_.suspects().contains(queue);
+    }
+
+    const std::set<std::string> &isolatedQueues() const
+    {
+        return suspicion_.suspects();
+    }
+
+    /** The agents of the workers that isolated queues use, in the order in which they use them. */
+    const std::vector<std::string> &group() const
+    {
+        return group_;
+    }
+
+    bool mayUse(const std::string &queue, const std::string &agent) const
+    {
+        return isIsolated(queue) == positions_.contains(agent);
+    }
+
+    /** Whether isolated queues have crashed a worker a short time ago, so that the next crash is likely soon. */
+    bool isCautious(MonotonicTime now) const;
+
+    /** When isolated queues last crashed a worker. */
+    MonotonicTime lastCrashAt() const
+    {
+        return lastCrashAt_;
+    }
+
+    /** The worker's position in the group, from 0 for the first to 1; 0 for others. */
+    double positionOf(const std::string &agent) const;
+
+    double score(const std::string &queue, MonotonicTime now) const
+    {
+        return suspicion_.score(queue, now);
+    }
+
+private:
+    /** Workers of one service. */
+    using Workers = std::vector<const WorkerView *>;
+
+    void measureLoad(const WorkerDirectory &directory, MonotonicTime now);
+    void selectGroup(Workers workers);
+    double isolatedShareOfWork() const;
+
+    CrashSuspicion suspicion_;
+    std::map<std::string, double> work_; ///< By queue; decays.
+    double load_ = 0; ///< Average share of the workers' capacity in use, before queues were isolated.
+    double othersLoad_ = 0; ///< Average share of it that the queues use that are not isolated.
+    std::vector<std::string> group_;
+    absl::flat_hash_map<std::string, size_t> positions_; ///< In group_, by agent.
+    size_t knownWorkers_ = 0;
+    MonotonicTime knownSince_; ///< Of the number of known workers.
+    std::set<std::string> loggedQueues_;
+    MonotonicTime lastCrashAt_; ///< Under a run of an isolated queue.
+    MonotonicTime updatedAt_;
+    MonotonicTime measuredAt_;
+};
+
+} // namespace marjoramferry
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "request/work_scheduler.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <numeric>
@@ -14,6 +15,10 @@
 constexpr int MaxLostRuns = 8;
 /** A task is given up, and its job fails, once so many workers crashed while they ran it. */
 constexpr int MaxCrashes = 2;
+/** While isolated workers crash, a job starts only on one of which this share is free: what runs there may be lost. */
+constexpr double MinFreeShare = 0.5;
+/** A task that may have crashed a worker is not started again before its queue has been quiet for this long. */
+constexpr Milliseconds ProbeDelay{1000};
 /** A dispatch pass ends after this many jobs that have a task no worker can take. */
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
@@ -51,7 +56,7 @@
 WorkScheduler::WorkScheduler(WorkSchedulerOptions options, WorkerDirectory &directory)
     : options_(options)
     , directory_(directory)
-    , selector_(options.selector, directory, runTimes_, health_)
+    , selector_(options.selector, directory, runTimes_, health_, isolation_)
 {
 }
 
@@ -116,10 +121,15 @@
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
+    isolation_.recordJob(route.name, added.remainingWork, now);
     if (hasTaskGivenUp(jobId)) {
         finishJob(jobId, ResponseStatus::Failed, "crashes_workers", now);
         return;
     }
+    if (isWithoutHope(added, now)) {
+        finishJob(jobId, ResponseStatus::Rejected, "isolated_workers_down", now);
+        return;
+    }
     if (!isAdmitted) {
         finishJob(jobId, ResponseStatus::Rejected, "overload", now);
         return;
@@ -226,6 +236,7 @@
 void WorkScheduler::schedule(const OperatorStateCache &operatorState, MonotonicTime now)
 {
     updateDrainRate(now);
+    updateIsolation(operatorState, now);
     if (now - lastCheckAt_ >= CheckInterval) {
         lastCheckAt_ = now;
         withdrawOverdueRuns(now);
@@ -239,7 +250,7 @@
     std::vector<std::string> rejected;
     std::vector<std::string> expired;
     for (const auto &[id, job] : jobs_) {
-        if (!job.hasStarted && now > job.rejectAt) {
+        if (!job.hasStarted && (now > job.rejectAt || isWithoutHope(job, now))) {
             rejected.push_back(id);
         } else if (now > job.deadlineAt) {
             expired.push_back(id);
@@ -269,6 +280,75 @@
     }
 }
 
+void WorkScheduler::updateIsolation(const OperatorStateCache &operatorState, MonotonicTime now)
+{
+    if (!isolation_.update(directory_, operatorState, now)) {
+        return;
+    }
+    const std::string queues = absl::StrJoin(isolation_.isolatedQueues(), ",");
+    const double score
+        = isolation_.isolatedQueues().empty() ? 0 : isolation_.score(*isolation_.isolatedQueues().begin(), now);
+    out_.log(LogEvent::Level::Warning,
+             "isolated_queues_changed",
+             {{"queues", queues},
+              {"score", absl::StrCat(score)},
+              {"workers", absl::StrJoin(isolation_.group(), ",")},
+              {"known_workers", absl::StrCat(directory_.views().size())}});
+}
+
+/** The agents of the isolated workers that take runs, in the order in which they are used. */
+std::vector<std::string> WorkScheduler::usableIsolatedAgents(MonotonicTime now) const
+{
+    std::vector<std::string> usable;
+    std::ranges::copy_if(isolation_.group(), std::back_inserter(usable), [&](const std::string &agent) {
+        const auto found = directory_.views().find(agent);
+        return found != directory_.views().end() && directory_.isUsable(found->second, now);
+    });
+    return usable;
+}
+
+/**
+ * Whether the job waits for isolated workers in vain: all are down, for a time that is not known, or they crash often
+ * and are left to jobs that can be in time.
+ */
+bool WorkScheduler::isWithoutHope(const Job &job, MonotonicTime now) const
+{
+    if (!isolation_.isIsolated(job.route.name)) {
+        return false;
+    }
+    return usableIsolatedAgents(now).empty() || (isolation_.isCautious(now) && now > job.latestStartAt);
+}
+
+/** Whether no other job would lose runs if the job crashed the worker. */
+bool WorkScheduler::isReservedFor(const Job &job, const WorkerView &view) const
+{
+    if (view.available.cpuMillis >= view.state.capacity.cpuMillis * MinFreeShare) {
+        return true;
+    }
+    const auto runs = runsByJob_.find(job.id);
+    return runs != runsByJob_.end()
+        && std::ranges::any_of(runs->second, [&](int64_t number) { return runs_.at(number).agent == view.agent; });
+}
+
+/** Whether the task may be the one of an isolated queue that crashed a worker. */
+bool WorkScheduler::needsProbe(const Job &job, int step, int task) const
+{
+    return isolation_.isIsolated(job.route.name) && crashes_.countCrashes(job.id, step, task) > 0;
+}
+
+/**
+ * The agent of the worker for tasks that may crash it, one at a time: the one that the others use last, unless it is
+ * the only one. Empty if there is none.
+ */
+std::string WorkScheduler::findProbeAgent(MonotonicTime now) const
+{
+    if (activeProbes_ > 0 || now - isolation_.lastCrashAt() < ProbeDelay) {
+        return "";
+    }
+    const std::vector<std::string> usable = usableIsolatedAgents(now);
+    return usable.size() < 2 ? "" : usable.back();
+}
+
 void WorkScheduler::dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now)
 {
     int unplacedJobs = 0;
@@ -304,12 +384,25 @@
         }
         std::vector<WorkerSelector::Candidate> candidates = selector_.findCandidates(
             step.definition, job.route, queuePositionOf(job, now).isLate, operatorState, now);
+        if (isolation_.isIsolated(job.route.name) && isolation_.isCautious(now)) {
+            std::erase_if(candidates, [&](const auto &each) { return !isReservedFor(job, *each.view); });
+        }
         for (size_t t = 0; t < step.tasks.size(); ++t) {
             if (step.tasks[t].state != TaskState::Queued) {
                 continue;
             }
-            auto *candidate = selector_.selectWorker(
-                candidates, step.definition.demand, excludedWorkers(job, static_cast<int>(s), static_cast<int>(t)));
+            const bool isProbe = needsProbe(job, static_cast<int>(s), static_cast<int>(t));
+            const std::string probeAgent = isProbe ? findProbeAgent(now) : "";
+            if (isProbe && probeAgent.empty()) {
+                continue;
+            }
+            auto *candidate = selector_.selectWorker(candidates,
+                                                     step.definition.demand,
+                                                     excludedWorkers(job, static_cast<int>(s), static_cast<int>(t)),
+                                                     probeAgent);
+            if (candidate == nullptr && isProbe) {
+                continue;
+            }
             if (candidate == nullptr) {
                 selector_.requestWorkers(step.definition, job.route, operatorState, now);
                 return false;
@@ -376,6 +469,8 @@
     run.worker = worker;
     run.session = view.session;
     run.dispatchedAt = now;
+    run.isProbe = needsProbe(job, stepIndex, taskIndex);
+    activeProbes_ += run.isProbe ? 1 : 0;
     run.overdueAt = overdueAt(step, worker, now, options_.overdueFactor);
     out_.log(LogEvent::Level::Info,
              "run_dispatched",
@@ -464,6 +559,7 @@
     if (!crashes_.record(crash, now)) {
         return;
     }
+    isolation_.recordCrash(agent, crash, now);
     const auto isGivenUp = [this](const wire::CrashedRun &run) {
         return crashes_.countCrashes(run.jobId, run.stepIndex, run.taskIndex) >= MaxCrashes;
     };
@@ -492,6 +588,7 @@
 {
     const Run run = std::move(runs_.at(number));
     runs_.erase(number);
+    activeProbes_ -= run.isProbe ? 1 : 0;
     const auto siblings = runsByJob_.find(run.jobId);
     siblings->second.erase(number);
     if (siblings->second.empty()) {
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "request/crash_tracker.h"
 #include "request/operator_state_cache.h"
+#include "request/queue_isolation.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -150,6 +151,7 @@
         MonotonicTime dispatchedAt;
         MonotonicTime overdueAt;
         bool isWithdrawn = false;
+        bool isProbe = false; ///< Of a task that may have crashed a worker.
     };
 
     /** Sort key of a job in the queue. */
@@ -169,6 +171,12 @@
     void updateDrainRate(MonotonicTime now);
     void enqueueJob(Job &job, MonotonicTime now);
     void checkDeadlines(MonotonicTime now);
+    void updateIsolation(const OperatorStateCache &operatorState, MonotonicTime now);
+    std::vector<std::string> usableIsolatedAgents(MonotonicTime now) const;
+    std::string findProbeAgent(MonotonicTime now) const;
+    bool isReservedFor(const Job &job, const WorkerView &view) const;
+    bool needsProbe(const Job &job, int step, int task) const;
+    bool isWithoutHope(const Job &job, MonotonicTime now) const;
     void dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now);
     bool dispatchJob(Job &job, const OperatorStateCache &operatorState, MonotonicTime now);
     bool isReady(const Job &job, const Step &step) const;
@@ -190,6 +198,7 @@
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
     CrashTracker crashes_;
+    QueueIsolation isolation_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
@@ -198,6 +207,7 @@
     std::set<QueuePosition> queue_; ///< Jobs with tasks that wait for dispatch.
     absl::flat_hash_map<std::string, QueuePosition> queuePositions_;
     int64_t lastRunNumber_ = 0;
+    int activeProbes_ = 0;
     double retryBudget_ = 5;
     double dispatchedWork_ = 0; ///< Dispatched since drainMeasuredAt_.
     double drainRate_ = 0; ///< Work dispatched per millisecond while jobs waited.
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -12,6 +12,11 @@
  * the same one.
  */
 constexpr double AffinityWeight = 0.4;
+/**
+ * Weight of the position in the group of isolated workers, on the same scale. The first ones are filled first, so that
+ * the others can finish runs of other queues, and are left when the first ones crash.
+ */
+constexpr double GroupPositionWeight = 5;
 /** Score advantage of an idle worker over a full one, on the same scale. */
 constexpr double FreeCapacityWeight = 0.3;
 /** Random bonus that breaks ties between workers of equal score. */
@@ -31,11 +36,13 @@
 WorkerSelector::WorkerSelector(WorkerSelectorOptions options,
                                WorkerDirectory &directory,
                                const RunTimeEstimator &runTimes,
-                               const WorkerHealth &health)
+                               const WorkerHealth &health,
+                               const QueueIsolation &isolation)
     : options_(options)
     , directory_(directory)
     , runTimes_(runTimes)
     , health_(health)
+    , isolation_(isolation)
     , random_(options.seed)
 {
 }
@@ -53,11 +60,12 @@
         const Demand overcommit = overcommitFor(state, step.demand, route, isLate, operatorState);
         if (!step.demand.fitsIn(view.available + overcommit) || !directory_.isUsable(view, now)
             || state.serviceName != route.serviceName || operatorState.isEvacuated(state.domain)
-            || !hasLabel(state, step.requiredLabel)) {
+            || !hasLabel(state, step.requiredLabel) || !isolation_.mayUse(route.name, view.agent)) {
             continue;
         }
         const double localityFactor = hasLabel(state, step.preferredLabel) ? 1.0 : options_.remoteSlowdown;
-        const double baseScore = AffinityWeight * view.affinity - runTimes_.slowdown(state.worker) * localityFactor;
+        const double baseScore = AffinityWeight * view.affinity - runTimes_.slowdown(state.worker) * localityFactor
+            - GroupPositionWeight * isolation_.positionOf(view.agent);
         candidates.push_back(Candidate{&view, health_.status(state.worker, now), overcommit, baseScore});
     }
     return candidates;
@@ -71,7 +79,8 @@
     directory_.activateStandby(
         [&](const WorkerView &view) {
             return view.state.serviceName == route.serviceName && step.demand.fitsIn(fromWire(view.state.capacity))
-                && hasLabel(view.state, step.requiredLabel) && !operatorState.isEvacuated(view.state.domain);
+                && hasLabel(view.state, step.requiredLabel) && !operatorState.isEvacuated(view.state.domain)
+                && isolation_.mayUse(route.name, view.agent);
         },
         now);
 }
@@ -101,7 +110,8 @@
 /** A worker on which the run would have to wait is selected only if it would have to wait on all of them. */
 WorkerSelector::Candidate *WorkerSelector::selectWorker(std::vector<Candidate> &candidates,
                                                         const Demand &demand,
-                                                        const std::vector<std::string> &excludedWorkers)
+                                                        const std::vector<std::string> &excludedWorkers,
+                                                        const std::string &onlyAgent)
 {
     std::uniform_real_distribution<double> jitter(0, TieBreakJitter);
     Candidate *best = nullptr;
@@ -112,6 +122,7 @@
         const bool canTakeTask
             = each.status == HealthStatus::Healthy || (each.status == HealthStatus::Probing && hasFreeCapacity);
         if (!canTakeTask || !demand.fitsIn(view.available + each.overcommit)
+            || (!onlyAgent.empty() && view.agent != onlyAgent)
             || std::ranges::find(excludedWorkers, view.state.worker) != excludedWorkers.end()) {
             continue;
         }
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "request/operator_state_cache.h"
+#include "request/queue_isolation.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -47,7 +48,8 @@
     WorkerSelector(WorkerSelectorOptions options,
                    WorkerDirectory &directory,
                    const RunTimeEstimator &runTimes,
-                   const WorkerHealth &health);
+                   const WorkerHealth &health,
+                   const QueueIsolation &isolation);
 
     /** Finds the workers with capacity for a task of the step; @p isLate if the job can't be in time any more. */
     std::vector<Candidate> findCandidates(const WorkStep &step,
@@ -62,10 +64,14 @@
                         const OperatorStateCache &operatorState,
                         MonotonicTime now);
 
-    /** Returns the best candidate by its current free capacity, or nullptr if none can take the task. */
+    /**
+     * Returns the best candidate by its current free capacity, or nullptr if none can take the task. If @p onlyAgent
+     * is not empty, only the worker of this agent may.
+     */
     Candidate *selectWorker(std::vector<Candidate> &candidates,
                             const Demand &demand,
-                            const std::vector<std::string> &excludedWorkers);
+                            const std::vector<std::string> &excludedWorkers,
+                            const std::string &onlyAgent);
 
 private:
     Demand overcommitFor(const wire::WorkerState &worker,
@@ -78,6 +84,7 @@
     WorkerDirectory &directory_;
     const RunTimeEstimator &runTimes_;
     const WorkerHealth &health_;
+    const QueueIsolation &isolation_;
     std::mt19937_64 random_;
 };
 
