Contain crashes in a class of its own, by service, with a bound on the jobs that one crash may cost

What the change answers: the rule that an isolated worker must be half free held also where one job in fifty crashes a worker and more jobs at a time lose less than they gain; queues of different services shared one suspicion; two queues that crash workers cleared each other. Change: the number of jobs on an isolated worker follows from the measured share of jobs that crash it, their run time and the time a worker is down. CrashContainment holds counts, isolation and probes, apart from the scheduler. A crash that one suspect explains counts little against another.

--- /dev/null
+++ b/request/crash_containment.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "core/time.h"
+#include "request/crash_tracker.h"
+#include "request/entry_command.h"
+#include "request/operator_state_cache.h"
+#include "request/queue_isolation.h"
+#include "request/worker_directory.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace marjoramferry {
+
+/**
+ * Limits what tasks that crash their workers cost others: gives such tasks up, and keeps their queue to workers of its
+ * own. Decides for all services.
+ */
+class CrashContainment
+{
+public:
+    explicit CrashContainment(const WorkerDirectory &directory);
+
+    /** Records a submitted job and the work of its tasks, in thousandths of a core times milliseconds. */
+    void recordJob(const wire::Route &route, double work, MonotonicTime now);
+
+    /** Records the first start of a task of the job. */
+    void recordStart(const wire::Route &route, MonotonicTime now);
+
+    /** Records a crash of the agent's worker; returns false if it was recorded before. */
+    bool recordCrash(const std::string &agent,
+                     const wire::WorkerCrash &crash,
+                     const std::function<bool(const std::string &jobId)> &isOwnJob,
+                     MonotonicTime now);
+
+    /** Selects the workers of isolated queues. */
+    void update(const OperatorStateCache &operatorState, MonotonicTime now);
+
+    /** Whether the task has crashed so many workers that it must not be started again. */
+    bool isGivenUp(const std::string &jobId, int step, int task) const;
+
+    /** Whether this holds for any task of the job. */
+    bool hasTaskGivenUp(const std::string &jobId) const;
+
+    bool isIsolated(const wire::Route &route) const;
+
+    /** The isolation of the service's queues; nullptr if it has had no job. */
+    const QueueIsolation *isolationOf(const std::string &service) const;
+
+    /** Whether a job of the queue can't be started in time, or at all, on isolated workers. */
+    bool isWithoutHope(const wire::Route &route, MonotonicTime latestStartAt, MonotonicTime now) const;
+
+    /** Whether the task of an isolated queue may be the one that crashed a worker. */
+    bool needsProbe(const wire::Route &route, const std::string &jobId, int step, int task) const;
+
+    /** The agent of the worker to start such a task on, at most one at a time; empty if it has to wait. */
+    std::string findProbeAgent(const wire::Route &route, MonotonicTime now) const;
+
+    void beginProbe()
+    {
+        ++activeProbes_;
+    }
+
+    void endProbe()
+    {
+        --activeProbes_;
+    }
+
+    std::vector<EntryCommand> takeCommands()
+    {
+        return out_.take();
+    }
+
+private:
+    bool isUsable(const std::string &agent, MonotonicTime now) const;
+    void logIsolatedQueues(const std::string &service, const QueueIsolation &isolation, MonotonicTime now);
+
+    const WorkerDirectory &directory_;
+    CrashTracker crashes_;
+    std::map<std::string, QueueIsolation> isolations_; ///< By service.
+    int activeProbes_ = 0;
+    EntryOutbox out_;
+};
+
+} // namespace marjoramferry
--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -24,6 +24,8 @@
 constexpr double MaxChange = 1;
 /** Change of the score if a worker crashes without a run of the queue. */
 constexpr double AbsenceScore = -2;
+/** The same if a suspect had a run there: both queues may crash workers. */
+constexpr double ExplainedAbsenceScore = -0.5;
 /** A queue becomes the suspect at the first score, and stays it above the second. */
 constexpr double SuspectScore = 0.5;
 constexpr double ClearedScore = 0.35;
@@ -64,32 +66,19 @@
 
 } // namespace
 
-double CrashSuspicion::Decaying::valueAt(MonotonicTime now, Milliseconds halfLife) const
-{
-    return value
-        * std::exp2(-static_cast<double>(millisecondsBetween(at, now)) / static_cast<double>(halfLife.count()));
-}
-
-void CrashSuspicion::Decaying::set(double newValue, MonotonicTime now)
-{
-    value = newValue;
-    at = now;
-}
-
 void CrashSuspicion::recordJob(const std::string &queue, MonotonicTime now)
 {
-    Decaying &jobs = jobs_[queue];
-    jobs.set(jobs.valueAt(now, JobsHalfLife) + 1, now);
+    jobs_.try_emplace(queue, JobsHalfLife).first->second.add(1, now);
 }
 
 double CrashSuspicion::shareOfJobs(const std::string &queue, MonotonicTime now) const
 {
     double all = 0;
     for (const auto &[name, jobs] : jobs_) {
-        all += jobs.valueAt(now, JobsHalfLife);
+        all += jobs.at(now);
     }
     const auto found = jobs_.find(queue);
-    const double share = found == jobs_.end() || all <= 0 ? 0 : found->second.valueAt(now, JobsHalfLife) / all;
+    const double share = found == jobs_.end() || all <= 0 ? 0 : found->second.at(now) / all;
     return std::clamp(share, MinShare, 1.0);
 }
 
@@ -118,14 +107,16 @@
         if (laterJobs >= 0 && isExplained && !isSuspect) {
             continue; // A suspect's task is the more likely cause.
         }
-        changes[queue] = laterJobs < 0 ? AbsenceScore : logLikelihood(laterJobs, shareOfJobs(queue, now));
+        const double absence = isExplained ? ExplainedAbsenceScore : AbsenceScore;
+        changes[queue] = laterJobs < 0 ? absence : logLikelihood(laterJobs, shareOfJobs(queue, now));
     }
     const auto changedScore = [&](const auto &each) { return score(each.first, crashedAt) + each.second; };
     if (isRepeated && !changes.empty()) {
         std::ranges::max_element(changes, {}, changedScore)->second += RepetitionScore;
     }
     for (const auto &each : changes) {
-        scores_[each.first].set(std::clamp(changedScore(each), MinScore, MaxScore), crashedAt);
+        scores_.try_emplace(each.first, ScoreHalfLife)
+            .first->second.set(std::clamp(changedScore(each), MinScore, MaxScore), crashedAt);
     }
     addSuspect(now);
 }
@@ -153,7 +144,7 @@
 double CrashSuspicion::score(const std::string &queue, MonotonicTime now) const
 {
     const auto found = scores_.find(queue);
-    return found == scores_.end() ? 0 : found->second.valueAt(now, ScoreHalfLife);
+    return found == scores_.end() ? 0 : found->second.at(now);
 }
 
 } // namespace marjoramferry
--- a/request/crash_suspicion.h
+++ b/request/crash_suspicion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "request/decaying_count.h"
 
 #include <messages_types.h>
 
@@ -42,20 +43,10 @@
     double shareOfJobs(const std::string &queue, MonotonicTime now) const;
 
 private:
-    /** A value that decays exponentially. */
-    struct Decaying
-    {
-        double value = 0;
-        MonotonicTime at;
-
-        double valueAt(MonotonicTime now, Milliseconds halfLife) const;
-        void set(double newValue, MonotonicTime now);
-    };
-
     void addSuspect(MonotonicTime now);
 
-    std::map<std::string, Decaying> jobs_; ///< By queue.
-    std::map<std::string, Decaying> scores_; ///< By queue.
+    std::map<std::string, DecayingCount> jobs_; ///< By queue.
+    std::map<std::string, DecayingCount> scores_; ///< By queue.
     std::set<std::string> suspects_;
     MonotonicTime lastCrashAt_;
 };
--- a/request/queue_isolation.cpp
+++ b/request/queue_isolation.cpp
@@ -21,6 +21,11 @@
 constexpr double CapacityMargin = 1.1;
 /** Bound of the group, as a share of the workers' capacity. */
 constexpr double MaxGroupShare = 0.5;
+/** A worker that crashed is back after about this time. */
+constexpr Milliseconds AssumedDowntime{3000};
+/** Added to the counts of crashes and jobs, which say little at first. */
+constexpr double AssumedCrashes = 1;
+constexpr double AssumedJobs = 10;
 constexpr XXH64_hash_t GroupSeed = 2;
 
 XXH64_hash_t groupOrder(const std::string &agent)
@@ -35,6 +40,11 @@
 
 } // namespace
 
+QueueIsolation::QueueIsolation(std::string service)
+    : service_(std::move(service))
+{
+}
+
 void QueueIsolation::recordJob(const std::string &queue, double work, MonotonicTime now)
 {
     suspicion_.recordJob(queue, now);
@@ -47,11 +57,38 @@
     return found == positions_.end() ? 0 : static_cast<double>(found->second) / static_cast<double>(group_.size());
 }
 
-void QueueIsolation::recordCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now)
+void QueueIsolation::recordStartedJob(MonotonicTime now)
+{
+    startedJobs_.add(1, now);
+}
+
+/**
+ * With a share p of jobs that crash their worker, a run time R and a downtime D, c jobs at a time complete at the rate
+ * c (1 - pc) / (R + Dpc) on one worker. The rate is highest where D(pc)^2 + 2R(pc) = R.
+ */
+double QueueIsolation::maxJobsPerWorker(Milliseconds runTime, MonotonicTime now) const
+{
+    const double crashShare = (crashingJobs_.at(now) + AssumedCrashes) / (startedJobs_.at(now) + AssumedJobs);
+    const double run = static_cast<double>(std::max<int64_t>(runTime.count(), 1));
+    const double down = static_cast<double>(AssumedDowntime.count());
+    return std::max(1.0, (std::sqrt(run * run + down * run) - run) / down / crashShare);
+}
+
+void QueueIsolation::recordCrash(const std::string &agent,
+                                 const wire::WorkerCrash &crash,
+                                 const std::function<bool(const std::string &jobId)> &isOwnJob,
+                                 MonotonicTime now)
 {
     suspicion_.recordCrash(crash, positions_.contains(agent), now);
-    if (std::ranges::any_of(crash.runs, [this](const wire::CrashedRun &run) { return isIsolated(run.queue); })) {
+    const wire::CrashedRun *last = nullptr;
+    for (const wire::CrashedRun &run : crash.runs) {
+        if (isIsolated(run.queue) && (last == nullptr || run.ageMs < last->ageMs)) {
+            last = &run;
+        }
+    }
+    if (last != nullptr) {
         lastCrashAt_ = std::max(lastCrashAt_, now - Milliseconds(crash.agoMs));
+        crashingJobs_.add(isOwnJob(last->jobId) ? 1 : 0, now);
     }
     updatedAt_ = MonotonicTime();
 }
@@ -79,23 +116,26 @@
     }
     // An entry that starts selects its group once it knows the workers.
     if (!suspicion_.suspects().empty() && now - knownSince_ >= SettlingTime) {
-        std::map<std::string, Workers> workersByService;
-        for (const auto &[agent, view] : directory.views()) {
-            const bool isEligible = view.link != LocalLink && !view.isLeaving && !view.state.worker.empty()
-                && !operatorState.isEvacuated(view.state.domain);
-            if (isEligible) {
-                workersByService[view.state.serviceName].push_back(&view);
-            }
-        }
-        for (auto &[service, workers] : workersByService) {
-            selectGroup(std::move(workers));
-        }
+        selectGroup(eligibleWorkers(directory, operatorState));
     }
     const bool hasChanged = loggedQueues_ != suspicion_.suspects();
     loggedQueues_ = suspicion_.suspects();
     return hasChanged;
 }
 
+QueueIsolation::Workers QueueIsolation::eligibleWorkers(const WorkerDirectory &directory,
+                                                        const OperatorStateCache &operatorState) const
+{
+    Workers workers;
+    for (const auto &[agent, view] : directory.views()) {
+        if (view.state.serviceName == service_ && view.link != LocalLink && !view.isLeaving
+            && !view.state.worker.empty() && !operatorState.isEvacuated(view.state.domain)) {
+            workers.push_back(&view);
+        }
+    }
+    return workers;
+}
+
 /** Measures the load of the active workers, which stand for all. */
 void QueueIsolation::measureLoad(const WorkerDirectory &directory, MonotonicTime now)
 {
@@ -104,6 +144,9 @@
     double usedByOthers = 0;
     const double othersShare = 1 - isolatedShareOfWork();
     for (const WorkerView *view : directory.activeViews()) {
+        if (view->state.serviceName != service_) {
+            continue;
+        }
         capacity += capacityOf(*view);
         if (view->reported.takesRuns) {
             const double usedHere = capacityOf(*view) - static_cast<double>(view->reported.unclaimed.cpuMillis);
@@ -140,7 +183,8 @@
 /** Adds workers to the group as long as the usable ones that are left can carry the other queues. */
 void QueueIsolation::selectGroup(Workers workers)
 {
-    std::ranges::sort(workers, {}, [](const WorkerView *view) { return std::pair(groupOrder(view->agent), view->agent); });
+    std::ranges::sort(
+        workers, {}, [](const WorkerView *view) { return std::pair(groupOrder(view->agent), view->agent); });
     double capacity = 0;
     double usableRest = 0;
     for (const WorkerView *view : workers) {
--- a/request/queue_isolation.h
+++ b/request/queue_isolation.h
@@ -2,11 +2,13 @@
 
 #include "core/time.h"
 #include "request/crash_suspicion.h"
+#include "request/decaying_count.h"
 #include "request/worker_directory.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -15,7 +17,7 @@
 namespace marjoramferry {
 
 /**
- * Keeps queues whose tasks crash their workers away from the others.
+ * Keeps queues of a service whose tasks crash their workers away from the others.
  *
  * Such queues use only a group of the workers, and the other queues only the rest. All entries order the workers in
  * the same way and take the group from the start of the order, so their groups differ by few workers. The group is as
@@ -24,10 +26,25 @@
 class QueueIsolation
 {
 public:
+    explicit QueueIsolation(std::string service);
+
     /** Records a job and the work of its tasks, in thousandths of a core times milliseconds. */
     void recordJob(const std::string &queue, double work, MonotonicTime now);
 
-    void recordCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now);
+    /** @p isOwnJob tells whether this entry has the job. */
+    void recordCrash(const std::string &agent,
+                     const wire::WorkerCrash &crash,
+                     const std::function<bool(const std::string &jobId)> &isOwnJob,
+                     MonotonicTime now);
+
+    /** Records the first start of a task of a job of an isolated queue. */
+    void recordStartedJob(MonotonicTime now);
+
+    /**
+     * The number of jobs of an isolated queue that may be on one worker at a time. More jobs use the worker better
+     * while it is up, and more are lost when one of them crashes it.
+     */
+    double maxJobsPerWorker(Milliseconds runTime, MonotonicTime now) const;
 
     /** Selects the groups anew if that is due. Returns whether the set of isolated queues has changed. */
     bool update(const WorkerDirectory &directory, const OperatorStateCache &operatorState, MonotonicTime now);
@@ -71,14 +88,19 @@
     }
 
 private:
-    /** Workers of one service. */
+    static constexpr Milliseconds RiskHalfLife{5000};
+
     using Workers = std::vector<const WorkerView *>;
 
     void measureLoad(const WorkerDirectory &directory, MonotonicTime now);
+    Workers eligibleWorkers(const WorkerDirectory &directory, const OperatorStateCache &operatorState) const;
     void selectGroup(Workers workers);
     double isolatedShareOfWork() const;
 
+    const std::string service_;
     CrashSuspicion suspicion_;
+    DecayingCount startedJobs_{RiskHalfLife}; ///< Of isolated queues, by this entry.
+    DecayingCount crashingJobs_{RiskHalfLife}; ///< Those of them that crashed a worker.
     std::map<std::string, double> work_; ///< By queue; decays.
     double load_ = 0; ///< Average share of the workers' capacity in use, before queues were isolated.
     double othersLoad_ = 0; ///< Average share of it that the queues use that are not isolated.
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -1,7 +1,6 @@
 #include "request/work_scheduler.h"
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <numeric>
@@ -13,12 +12,6 @@
 
 /** A job is interrupted once so many runs of a task were lost: it can't be served at present. */
 constexpr int MaxLostRuns = 8;
-/** A task is given up, and its job fails, once so many workers crashed while they ran it. */
-constexpr int MaxCrashes = 2;
-/** While isolated workers crash, a job starts only on one of which this share is free: what runs there may be lost. */
-constexpr double MinFreeShare = 0.5;
-/** A task that may have crashed a worker is not started again before its queue has been quiet for this long. */
-constexpr Milliseconds ProbeDelay{1000};
 /** A dispatch pass ends after this many jobs that have a task no worker can take. */
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
@@ -56,7 +49,8 @@
 WorkScheduler::WorkScheduler(WorkSchedulerOptions options, WorkerDirectory &directory)
     : options_(options)
     , directory_(directory)
-    , selector_(options.selector, directory, runTimes_, health_, isolation_)
+    , containment_(directory)
+    , selector_(options.selector, directory, runTimes_, health_, containment_)
 {
 }
 
@@ -121,12 +115,12 @@
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
-    isolation_.recordJob(route.name, added.remainingWork, now);
-    if (hasTaskGivenUp(jobId)) {
+    containment_.recordJob(route, added.remainingWork, now);
+    if (containment_.hasTaskGivenUp(jobId)) {
         finishJob(jobId, ResponseStatus::Failed, "crashes_workers", now);
         return;
     }
-    if (isWithoutHope(added, now)) {
+    if (containment_.isWithoutHope(route, added.latestStartAt, now)) {
         finishJob(jobId, ResponseStatus::Rejected, "isolated_workers_down", now);
         return;
     }
@@ -236,7 +230,7 @@
 void WorkScheduler::schedule(const OperatorStateCache &operatorState, MonotonicTime now)
 {
     updateDrainRate(now);
-    updateIsolation(operatorState, now);
+    containment_.update(operatorState, now);
     if (now - lastCheckAt_ >= CheckInterval) {
         lastCheckAt_ = now;
         withdrawOverdueRuns(now);
@@ -250,7 +244,7 @@
     std::vector<std::string> rejected;
     std::vector<std::string> expired;
     for (const auto &[id, job] : jobs_) {
-        if (!job.hasStarted && (now > job.rejectAt || isWithoutHope(job, now))) {
+        if (!job.hasStarted && (now > job.rejectAt || containment_.isWithoutHope(job.route, job.latestStartAt, now))) {
             rejected.push_back(id);
         } else if (now > job.deadlineAt) {
             expired.push_back(id);
@@ -280,49 +274,13 @@
     }
 }
 
-void WorkScheduler::updateIsolation(const OperatorStateCache &operatorState, MonotonicTime now)
+/** Whether the job may use the worker although it, or a job there, may crash the worker. */
+bool WorkScheduler::isWorthRisk(const Job &job, const Step &step, const WorkerView &view, MonotonicTime now) const
 {
-    if (!isolation_.update(directory_, operatorState, now)) {
-        return;
-    }
-    const std::string queues = absl::StrJoin(isolation_.isolatedQueues(), ",");
-    const double score
-        = isolation_.isolatedQueues().empty() ? 0 : isolation_.score(*isolation_.isolatedQueues().begin(), now);
-    out_.log(LogEvent::Level::Warning,
-             "isolated_queues_changed",
-             {{"queues", queues},
-              {"score", absl::StrCat(score)},
-              {"workers", absl::StrJoin(isolation_.group(), ",")},
-              {"known_workers", absl::StrCat(directory_.views().size())}});
-}
-
-/** The agents of the isolated workers that take runs, in the order in which they are used. */
-std::vector<std::string> WorkScheduler::usableIsolatedAgents(MonotonicTime now) const
-{
-    std::vector<std::string> usable;
-    std::ranges::copy_if(isolation_.group(), std::back_inserter(usable), [&](const std::string &agent) {
-        const auto found = directory_.views().find(agent);
-        return found != directory_.views().end() && directory_.isUsable(found->second, now);
-    });
-    return usable;
-}
-
-/**
- * Whether the job waits for isolated workers in vain: all are down, for a time that is not known, or they crash often
- * and are left to jobs that can be in time.
- */
-bool WorkScheduler::isWithoutHope(const Job &job, MonotonicTime now) const
-{
-    if (!isolation_.isIsolated(job.route.name)) {
-        return false;
-    }
-    return usableIsolatedAgents(now).empty() || (isolation_.isCautious(now) && now > job.latestStartAt);
-}
-
-/** Whether no other job would lose runs if the job crashed the worker. */
-bool WorkScheduler::isReservedFor(const Job &job, const WorkerView &view) const
-{
-    if (view.available.cpuMillis >= view.state.capacity.cpuMillis * MinFreeShare) {
+    const QueueIsolation &isolation = *containment_.isolationOf(job.route.serviceName);
+    const double otherJobs = isolation.maxJobsPerWorker(step.expectedRunTime, now) - 1;
+    const double used = view.state.capacity.cpuMillis - view.available.cpuMillis;
+    if (used <= otherJobs * step.definition.demand.cpuMillis * step.definition.count) {
         return true;
     }
     const auto runs = runsByJob_.find(job.id);
@@ -330,25 +288,6 @@
         && std::ranges::any_of(runs->second, [&](int64_t number) { return runs_.at(number).agent == view.agent; });
 }
 
-/** Whether the task may be the one of an isolated queue that crashed a worker. */
-bool WorkScheduler::needsProbe(const Job &job, int step, int task) const
-{
-    return isolation_.isIsolated(job.route.name) && crashes_.countCrashes(job.id, step, task) > 0;
-}
-
-/**
- * The agent of the worker for tasks that may crash it, one at a time: the one that the others use last, unless it is
- * the only one. Empty if there is none.
- */
-std::string WorkScheduler::findProbeAgent(MonotonicTime now) const
-{
-    if (activeProbes_ > 0 || now - isolation_.lastCrashAt() < ProbeDelay) {
-        return "";
-    }
-    const std::vector<std::string> usable = usableIsolatedAgents(now);
-    return usable.size() < 2 ? "" : usable.back();
-}
-
 void WorkScheduler::dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now)
 {
     int unplacedJobs = 0;
@@ -384,15 +323,15 @@
         }
         std::vector<WorkerSelector::Candidate> candidates = selector_.findCandidates(
             step.definition, job.route, queuePositionOf(job, now).isLate, operatorState, now);
-        if (isolation_.isIsolated(job.route.name) && isolation_.isCautious(now)) {
-            std::erase_if(candidates, [&](const auto &each) { return !isReservedFor(job, *each.view); });
+        if (containment_.isIsolated(job.route)) {
+            std::erase_if(candidates, [&](const auto &each) { return !isWorthRisk(job, step, *each.view, now); });
         }
         for (size_t t = 0; t < step.tasks.size(); ++t) {
             if (step.tasks[t].state != TaskState::Queued) {
                 continue;
             }
-            const bool isProbe = needsProbe(job, static_cast<int>(s), static_cast<int>(t));
-            const std::string probeAgent = isProbe ? findProbeAgent(now) : "";
+            const bool isProbe = containment_.needsProbe(job.route, job.id, static_cast<int>(s), static_cast<int>(t));
+            const std::string probeAgent = isProbe ? containment_.findProbeAgent(job.route, now) : "";
             if (isProbe && probeAgent.empty()) {
                 continue;
             }
@@ -441,6 +380,9 @@
     if (health_.status(worker, now) == HealthStatus::Probing) {
         health_.recordProbe(worker, now);
     }
+    if (!job.hasStarted) {
+        containment_.recordStart(job.route, now);
+    }
     task.state = TaskState::Dispatched;
     ++task.attempt;
     --job.queuedTasks;
@@ -469,8 +411,10 @@
     run.worker = worker;
     run.session = view.session;
     run.dispatchedAt = now;
-    run.isProbe = needsProbe(job, stepIndex, taskIndex);
-    activeProbes_ += run.isProbe ? 1 : 0;
+    run.isProbe = containment_.needsProbe(job.route, job.id, stepIndex, taskIndex);
+    if (run.isProbe) {
+        containment_.beginProbe();
+    }
     run.overdueAt = overdueAt(step, worker, now, options_.overdueFactor);
     out_.log(LogEvent::Level::Info,
              "run_dispatched",
@@ -556,31 +500,22 @@
 
 void WorkScheduler::handleWorkerCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now)
 {
-    if (!crashes_.record(crash, now)) {
+    const auto isOwnJob = [this](const std::string &jobId) { return jobs_.contains(jobId); };
+    if (!containment_.recordCrash(agent, crash, isOwnJob, now)) {
         return;
     }
-    isolation_.recordCrash(agent, crash, now);
-    const auto isGivenUp = [this](const wire::CrashedRun &run) {
-        return crashes_.countCrashes(run.jobId, run.stepIndex, run.taskIndex) >= MaxCrashes;
-    };
-    out_.log(LogEvent::Level::Warning,
-             "worker_crash_recorded",
-             {{"agent", agent},
-              {"worker", crash.worker},
-              {"ago_ms", absl::StrCat(crash.agoMs)},
-              {"runs", absl::StrCat(crash.runs.size())},
-              {"repeated_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isGivenUp))}});
     for (const wire::CrashedRun &run : crash.runs) {
-        if (isGivenUp(run) && jobs_.contains(run.jobId)) {
+        if (isOwnJob(run.jobId) && containment_.isGivenUp(run.jobId, run.stepIndex, run.taskIndex)) {
             finishJob(run.jobId, ResponseStatus::Failed, "crashes_workers", now);
         }
     }
 }
 
-/** Whether a task of the job was given up, perhaps by another entry that the job was submitted to before. */
-bool WorkScheduler::hasTaskGivenUp(const std::string &jobId) const
+std::vector<EntryCommand> WorkScheduler::takeCommands()
 {
-    return crashes_.mostCrashes(jobId) >= MaxCrashes;
+    std::vector<EntryCommand> commands = containment_.takeCommands();
+    std::ranges::move(out_.take(), std::back_inserter(commands));
+    return commands;
 }
 
 void WorkScheduler::endRun(
@@ -588,7 +523,9 @@
 {
     const Run run = std::move(runs_.at(number));
     runs_.erase(number);
-    activeProbes_ -= run.isProbe ? 1 : 0;
+    if (run.isProbe) {
+        containment_.endProbe();
+    }
     const auto siblings = runsByJob_.find(run.jobId);
     siblings->second.erase(number);
     if (siblings->second.empty()) {
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/crash_tracker.h"
+#include "request/crash_containment.h"
 #include "request/operator_state_cache.h"
-#include "request/queue_isolation.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -90,10 +89,7 @@
         return jobs_.empty();
     }
 
-    std::vector<EntryCommand> takeCommands()
-    {
-        return out_.take();
-    }
+    std::vector<EntryCommand> takeCommands();
 
     std::vector<CallResponse> takeResponses()
     {
@@ -165,7 +161,6 @@
     };
 
     static QueuePosition queuePositionOf(const Job &job, MonotonicTime now);
-    bool hasTaskGivenUp(const std::string &jobId) const;
     bool admitJob(Job &job, MonotonicTime now) const;
     Milliseconds expectedWait(const QueuePosition &position) const;
     void updateDrainRate(MonotonicTime now);
@@ -174,7 +169,8 @@
     void updateIsolation(const OperatorStateCache &operatorState, MonotonicTime now);
     std::vector<std::string> usableIsolatedAgents(MonotonicTime now) const;
     std::string findProbeAgent(MonotonicTime now) const;
-    bool isReservedFor(const Job &job, const WorkerView &view) const;
+    bool isWorthRisk(const Job &job, const Step &step, const WorkerView &view, MonotonicTime now) const;
+    bool isOwnIsolatedJobLast(const wire::WorkerCrash &crash) const;
     bool needsProbe(const Job &job, int step, int task) const;
     bool isWithoutHope(const Job &job, MonotonicTime now) const;
     void dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now);
@@ -197,8 +193,7 @@
     WorkerDirectory &directory_;
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
-    CrashTracker crashes_;
-    QueueIsolation isolation_;
+    CrashContainment containment_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
@@ -207,7 +202,6 @@
     std::set<QueuePosition> queue_; ///< Jobs with tasks that wait for dispatch.
     absl::flat_hash_map<std::string, QueuePosition> queuePositions_;
     int64_t lastRunNumber_ = 0;
-    int activeProbes_ = 0;
     double retryBudget_ = 5;
     double dispatchedWork_ = 0; ///< Dispatched since drainMeasuredAt_.
     double drainRate_ = 0; ///< Work dispatched per millisecond while jobs waited.
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -37,12 +37,12 @@
                                WorkerDirectory &directory,
                                const RunTimeEstimator &runTimes,
                                const WorkerHealth &health,
-                               const QueueIsolation &isolation)
+                               const CrashContainment &containment)
     : options_(options)
     , directory_(directory)
     , runTimes_(runTimes)
     , health_(health)
-    , isolation_(isolation)
+    , containment_(containment)
     , random_(options.seed)
 {
 }
@@ -54,18 +54,20 @@
                                                                       MonotonicTime now)
 {
     std::vector<Candidate> candidates;
+    const QueueIsolation *isolation = containment_.isolationOf(route.serviceName);
     for (WorkerView *each : directory_.activeViews()) {
         WorkerView &view = *each;
         const wire::WorkerState &state = view.state;
         const Demand overcommit = overcommitFor(state, step.demand, route, isLate, operatorState);
         if (!step.demand.fitsIn(view.available + overcommit) || !directory_.isUsable(view, now)
             || state.serviceName != route.serviceName || operatorState.isEvacuated(state.domain)
-            || !hasLabel(state, step.requiredLabel) || !isolation_.mayUse(route.name, view.agent)) {
+            || !hasLabel(state, step.requiredLabel)
+            || (isolation != nullptr && !isolation->mayUse(route.name, view.agent))) {
             continue;
         }
         const double localityFactor = hasLabel(state, step.preferredLabel) ? 1.0 : options_.remoteSlowdown;
         const double baseScore = AffinityWeight * view.affinity - runTimes_.slowdown(state.worker) * localityFactor
-            - GroupPositionWeight * isolation_.positionOf(view.agent);
+            - GroupPositionWeight * (isolation == nullptr ? 0 : isolation->positionOf(view.agent));
         candidates.push_back(Candidate{&view, health_.status(state.worker, now), overcommit, baseScore});
     }
     return candidates;
@@ -76,11 +78,12 @@
                                     const OperatorStateCache &operatorState,
                                     MonotonicTime now)
 {
+    const QueueIsolation *isolation = containment_.isolationOf(route.serviceName);
     directory_.activateStandby(
         [&](const WorkerView &view) {
             return view.state.serviceName == route.serviceName && step.demand.fitsIn(fromWire(view.state.capacity))
                 && hasLabel(view.state, step.requiredLabel) && !operatorState.isEvacuated(view.state.domain)
-                && isolation_.mayUse(route.name, view.agent);
+                && (isolation == nullptr || isolation->mayUse(route.name, view.agent));
         },
         now);
 }
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time.h"
+#include "request/crash_containment.h"
 #include "request/operator_state_cache.h"
-#include "request/queue_isolation.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -49,7 +49,7 @@
                    WorkerDirectory &directory,
                    const RunTimeEstimator &runTimes,
                    const WorkerHealth &health,
-                   const QueueIsolation &isolation);
+                   const CrashContainment &containment);
 
     /** Finds the workers with capacity for a task of the step; @p isLate if the job can't be in time any more. */
     std::vector<Candidate> findCandidates(const WorkStep &step,
@@ -84,7 +84,7 @@
     WorkerDirectory &directory_;
     const RunTimeEstimator &runTimes_;
     const WorkerHealth &health_;
-    const QueueIsolation &isolation_;
+    const CrashContainment &containment_;
     std::mt19937_64 random_;
 };
 
--- a/tests/request/queue_isolation_test.cpp
+++ b/tests/request/queue_isolation_test.cpp
@@ -31,7 +31,7 @@
 {
     WorkerDirectory directory{"entry", "entry-1", WorkerDirectoryOptions{}};
     OperatorStateCache operatorState;
-    QueueIsolation isolation;
+    QueueIsolation isolation{"orders"};
     MonotonicTime now = Start;
     LinkId lastLink = 0;
     double usedShare = 0.6;
@@ -80,7 +80,8 @@
 
     void crash(const std::string &agent = "agent-0")
     {
-        isolation.recordCrash(agent, crashOfLastStarted("quote"), now);
+        isolation.recordCrash(
+            agent, crashOfLastStarted("quote"), [](const std::string &) { return true; }, now);
     }
 };
 
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -510,3 +510,19 @@
     REQUIRE(output.crashes.size() == 1);
     CHECK(output.crashes[0].worker == WorkerIdentity{"worker-1", 7});
 }
+
+TEST_CASE("A worker whose capacity shrinks while it runs tasks is started nothing over the new capacity")
+{
+    ReconciledSupervisor fixture;
+    fixture.startAndConfirm(runRequest("a", 1, 6000), Start);
+    WorkerAnnouncement smaller = announcement(2);
+    smaller.capacity = {8'000, 1024, 0};
+    fixture.supervisor.handleAnnouncement(smaller, Start + Milliseconds(10));
+    CHECK(fixture.supervisor.freeCapacity().unclaimed.cpuMillis == 2'000);
+    fixture.supervisor.requestRun(runRequest("b", 2, 6000), Start + Milliseconds(20));
+    CHECK(OutputByKind(fixture.supervisor.takeOutput()).starts.empty());
+
+    WorkerAnnouncement larger = announcement(3);
+    fixture.supervisor.handleAnnouncement(larger, Start + Milliseconds(30));
+    CHECK(OutputByKind(fixture.supervisor.takeOutput()).starts.size() == 1);
+}
