Drop the records of workers that were replaced

An agent without a worker keeps its last one, so that a lost and found worker keeps its record. Test: worker_directory_test.cpp.

--- a/request/run_time_estimator.h
+++ b/request/run_time_estimator.h
@@ -24,6 +24,11 @@
     /** The run time on this worker relative to an average worker; 1 while there are too few samples. */
     double slowdown(const std::string &worker) const;
 
+    void removeWorker(const std::string &worker)
+    {
+        workers_.erase(worker);
+    }
+
 private:
     /** Exponentially weighted mean of logarithms; its exponential is the geometric mean of the values. */
     struct LogMean
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -189,6 +189,9 @@
     if (update->firstLiveSession) {
         scheduler_.handleLostRuns(update->agent, *update->firstLiveSession, now);
     }
+    if (!update->replacedWorker.empty()) {
+        scheduler_.removeWorker(update->replacedWorker);
+    }
     if (update->operatorState) {
         updateOperatorState(*update->operatorState, update->agent);
     }
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -511,6 +511,12 @@
     }
 }
 
+void WorkScheduler::removeWorker(const std::string &worker)
+{
+    health_.removeWorker(worker);
+    runTimes_.removeWorker(worker);
+}
+
 std::vector<EntryCommand> WorkScheduler::takeCommands()
 {
     std::vector<EntryCommand> commands = containment_.takeCommands();
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -75,6 +75,9 @@
     /** Records a crash of a worker, whichever entry ordered the runs on it. */
     void handleWorkerCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now);
 
+    /** Drops the records of a worker that will not return. */
+    void removeWorker(const std::string &worker);
+
     /** Dispatches tasks to workers with free capacity and rejects jobs that waited too long. */
     void schedule(const OperatorStateCache &operatorState, MonotonicTime now);
 
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -100,6 +100,9 @@
     view.wantsOperatorState = batch.wantsOperatorState;
     if (batch.__isset.worker) {
         view.state = batch.worker;
+        if (!view.state.worker.empty() && view.state.worker != view.lastWorker) {
+            update.replacedWorker = std::exchange(view.lastWorker, view.state.worker);
+        }
     }
     view.reported = batch.room;
     isSubsetOutdated_ = isSubsetOutdated_ || (batch.room.takesRuns && now - view.tookRunsAt > MaxRefusalTime);
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -40,6 +40,7 @@
     std::vector<std::string> previousIncarnations; ///< Messages from them may still be in flight.
     LinkId link = LocalLink;
     wire::WorkerState state;
+    std::string lastWorker; ///< Kept while the agent has no worker.
     wire::WorkerRoom reported; ///< Free capacity; does not include uncountedDemands.
     bool hasClearedRuns = false; ///< Whether the agent reported that no runs of earlier sessions are left.
     bool isLeaving = false;
@@ -86,6 +87,7 @@
     std::optional<int64_t> firstLiveSession; ///< No runs of earlier sessions are left.
     std::optional<wire::OperatorState> operatorState;
     std::vector<wire::WorkerCrash> crashes; ///< Possibly reported before.
+    std::string replacedWorker; ///< The worker that the agent had before; empty if it has the same or had none.
 };
 
 /** An agent that was silent for too long; none of its runs of sessions before firstLiveSession is left. */
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -299,3 +299,20 @@
     directory.handleBatch(2, batchFrom("first", 11), Start);
     CHECK(sendDueBatch(directory, Start)->entries.size() == 2);
 }
+
+TEST_CASE("An agent that reports another worker names the one that it replaces, also after a time without a worker")
+{
+    WorkerDirectory directory("entry", "entry-1", WorkerDirectoryOptions{});
+    auto replacedBy = [&, sentAtUs = int64_t{0}](const std::string &worker) mutable {
+        wire::AgentBatch batch = batchFrom("first", ++sentAtUs);
+        batch.worker.worker = worker;
+        return directory.handleBatch(1, batch, Start)->replacedWorker;
+    };
+    CHECK(replacedBy("w-1").empty());
+    CHECK(replacedBy("w-1").empty());
+    CHECK(replacedBy("").empty());
+    CHECK(replacedBy("w-1").empty());
+    CHECK(replacedBy("").empty());
+    CHECK(replacedBy("w-2") == "w-1");
+    CHECK(replacedBy("w-3") == "w-2");
+}
