--- a/misc/soak.py
+++ b/misc/soak.py
@@ -25,6 +25,9 @@
 
 ENTRIES, WORKERS = 3, 5
 WORKER_CPU_MILLIS = 32000
+CRASHING_SHARE = 0.02  # Of the jobs under faults.
+MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
+WORKER_DOWNTIME_S = 2
 RESUBMIT_DELAY_S = 1.3  # Clients resubmit a job this long after its connection broke.
 BUILD = os.environ.get("BUILD", "build/release")
 
@@ -129,6 +132,14 @@
         if self.processes[name] is process:
             self.start_by_name(name)
 
+    async def restart_crashed(self, name):
+        """Restarts a worker some time after each of its ends."""
+        while True:
+            if self.processes[name].poll() is not None:
+                await asyncio.sleep(WORKER_DOWNTIME_S)
+                self.start_by_name(name)
+            await asyncio.sleep(0.02)
+
     def kill_all(self):
         for process in self.processes.values():
             if process.poll() is None:
@@ -160,15 +171,20 @@
         return None
 
 
-async def client(deployment, job, results):
-    """Submits a job, and again after each broken or interrupted call, until its deadline."""
+async def client(deployment, job, results, crashes=False):
+    """Submits a job, and again after each broken or interrupted call, until its deadline.
+
+    If it crashes, one of its tasks ends each worker process that starts it."""
     rng = deployment.rng
     tasks, run_ms = rng.choice([(8, 60), (4, 600), (2, 200)])
     cpu_millis = 6200
     deadline = time.monotonic() + 3
     record = {"job": job, "tasks": tasks, "tries": []}
     results.append(record)
-    body = {"spec": f"{run_ms}/{cpu_millis}", "best-effort": True,
+    if crashes:
+        record["crashing_task"] = rng.randrange(tasks)
+    crash_suffix = f"/{record['crashing_task']}" if crashes else ""
+    body = {"spec": f"{run_ms}/{cpu_millis}{crash_suffix}", "best-effort": True,
             "phases": [{"count": tasks, "cpu": cpu_millis, "mem-mb": 64, "estimate-ms": run_ms}]}
     entry = rng.randrange(ENTRIES)
     while (remaining_s := deadline - time.monotonic()) > 0.05:
@@ -282,6 +298,10 @@
             if len(done) < record["tasks"]:
                 violations.append(f"{record['job']} was reported complete with "
                                   f"{len(done)} of {record['tasks']} tasks done")
+        if "crashing_task" in record:
+            starts = len(tasks.get(f"{record['job']}.0.0.{record['crashing_task']}", []))
+            if starts > MAX_CRASHES:
+                violations.append(f"{record['job']} was started {starts} times, though it crashes workers")
         if status == 503 and started and len(record["tries"]) == 1:
             violations.append(f"{record['job']} was rejected, but one of its tasks had started")
     return violations
@@ -306,9 +326,11 @@
         await asyncio.sleep(2)
         results, clients = [], []
         fault_task = asyncio.create_task(inject_faults(deployment, seconds))
+        worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(WORKERS)]
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
-            clients.append(asyncio.create_task(client(deployment, f"{rng.getrandbits(64):016x}", results)))
+            job = f"{rng.getrandbits(64):016x}"
+            clients.append(asyncio.create_task(client(deployment, job, results, rng.random() < CRASHING_SHARE)))
             await asyncio.sleep(rng.uniform(0.02, 0.08))
         await fault_task
         await asyncio.gather(*clients)
@@ -319,6 +341,8 @@
             clients.append(asyncio.create_task(client(deployment, f"{rng.getrandbits(64):016x}", final_results)))
             await asyncio.sleep(0.05)
         await asyncio.gather(*clients)
+        for task in worker_tasks:
+            task.cancel()
         for proxy in proxies:
             proxy.server.close()
     finally:
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+constexpr int CrashExitCode = 70;
 constexpr int StatusOk = 200;
 constexpr int StatusMalformed = 400;
 constexpr int StatusConflict = 409;
@@ -142,12 +143,29 @@
         const WorkerReply reply = model_->call(call, monotonicNow());
         writeRunLog();
         sendReply(request.token, reply);
+        if (const auto crashTime = model_->crashTime()) {
+            const auto wait = std::chrono::ceil<Milliseconds>(*crashTime - monotonicNow());
+            timers_.after(std::max(wait, Milliseconds(1)), [this] { crashIfDue(); });
+        }
     } catch (const std::exception &error) {
         http_.reply(HttpResponse{request.token, StatusMalformed, json{{"error", error.what()}}.dump()});
     }
     return true;
 }
 
+/** Ends the process, as a task that crashes its worker does. */
+void PlatformWorkerStandin::crashIfDue()
+{
+    absl::MutexLock lock(&mutex_);
+    const auto crashTime = model_->crashTime();
+    if (!crashTime || *crashTime > monotonicNow()) {
+        return;
+    }
+    model_->crash(monotonicNow());
+    writeRunLog();
+    std::_Exit(CrashExitCode);
+}
+
 void PlatformWorkerStandin::setFaults(const HttpRequest &request)
 {
     const json body = json::parse(request.body);
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -48,6 +48,7 @@
     void answerPoll(uint64_t token, const PollRuns &poll, MonotonicTime deadline);
     void sendReply(uint64_t token, const WorkerReply &reply);
     WorkerCall parseCall(const HttpRequest &request) const;
+    void crashIfDue();
     void restart();
     void announce();
     static void waitForNextAnnouncement();
