--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -490,16 +490,18 @@
         settle();
     }
 
-    /** The agents report idle workers until the group is selected. */
-    void settle()
+    /** The agents report idle workers for 440 ms, in which the group is selected. Returns the orders by then. */
+    std::vector<std::pair<std::string, wire::RunOrder>> settle()
     {
+        std::vector<std::pair<std::string, wire::RunOrder>> orders;
         for (int i = 0; i < 4; ++i) {
             now += Milliseconds(110);
             for (int agent = 0; agent < 8; ++agent) {
                 reportCapacity(absl::StrCat("agent-", agent), 16'000, now);
             }
-            takeOrders(now);
+            std::ranges::move(takeOrders(now), std::back_inserter(orders));
         }
+        return orders;
     }
 
     std::set<std::string> agentsOfOrders(const std::string &job)
@@ -561,16 +563,39 @@
     CHECK(responses[0].retryAfter.count() > 0);
 }
 
-TEST_CASE("A task that may have crashed a worker is tried again only after a quiet second, on the spare worker")
+TEST_CASE(
+    "A task that may have crashed a worker is tried again after a quiet second, on the worker that others use last")
 {
     IsolatedQueueFixture fixture;
     fixture.submit("quote-1", route("quote", 0), 1, 60, fixture.now);
-    const std::set<std::string> first = fixture.agentsOfOrders("quote-1");
+    const auto first = fixture.takeOrders(fixture.now);
     REQUIRE(first.size() == 1);
-    const auto &runs = fixture.directory.views().at(*first.begin());
-    fixture.scheduler.handleWorkerCrash(*first.begin(), crashUnder("quote-1", "quote", "w-9"), fixture.now);
-    fixture.endRun(*first.begin(), runs.openRuns > 0 ? 6 : 0, wire::RunOutcome::GONE, fixture.now);
+    const auto &[agent, order] = first.front();
+    fixture.scheduler.handleWorkerCrash(agent, crashUnder("quote-1", "quote", "w-9"), fixture.now);
+    fixture.endRun(agent, order.runNumber, wire::RunOutcome::GONE, fixture.now);
     CHECK(fixture.agentsOfOrders("quote-1").empty());
     fixture.settle();
-    CHECK(fixture.agentsOfOrders("quote-1").empty());
+    CHECK(fixture.settle().empty());
+    const auto probe = fixture.settle();
+    REQUIRE(probe.size() == 1);
+    CHECK(probe[0].first != agent);
+}
+
+TEST_CASE("A late job starts on free capacity that no other job has used for 100 ms")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 8000);
+    fixture.submit("job", route("quote", 0), 1, 60, Start, 9000);
+    MonotonicTime now = Start;
+    CHECK(fixture.takeOrders(now).empty());
+    // By then the job can't be in time any more, and a task of this size fits beside those that run.
+    now += Milliseconds(120);
+    fixture.reportCapacity("a", 10'000, now);
+    size_t orders = fixture.takeOrders(now).size();
+    for (int i = 0; i < 10; ++i) {
+        now += Milliseconds(11);
+        fixture.reportCapacity("a", 10'000, now);
+        orders += fixture.takeOrders(now).size();
+    }
+    CHECK(orders == 1);
 }
