--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -108,7 +108,8 @@
     return found != directory_.views().end() && directory_.isUsable(found->second, now);
 }
 
-/** All workers may be down, for a time that is not known. If they crash often they are left to jobs in time. */
+/** How long workers that crashed are down is not known. While the group crashes, it is left to jobs that can be in
+ * time. */
 bool CrashContainment::isWithoutHope(const wire::Route &route, MonotonicTime latestStartAt, MonotonicTime now) const
 {
     if (!isIsolated(route)) {
@@ -125,7 +126,7 @@
     return isIsolated(route) && crashes_.countCrashes(jobId, step, task) > 0;
 }
 
-/** The worker that the other tasks use last, unless it is the only one. */
+/** The worker that other tasks use last, unless it is the only one that is up. */
 std::string CrashContainment::findProbeAgent(const wire::Route &route, MonotonicTime now) const
 {
     const QueueIsolation &isolation = isolations_.at(route.serviceName);
--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -20,18 +20,18 @@
 constexpr Milliseconds RepetitionTime{2000};
 /** Change of the score of the likeliest queue at a crash that follows another. */
 constexpr double RepetitionScore = 1;
-/** A queue with few jobs is not the cause only because one of them started last. */
+/** Bounds the evidence of one crash: any queue with few jobs has one of them start last at times. */
 constexpr double MaxChange = 1;
 /** Change of the score if a worker crashes without a run of the queue. */
 constexpr double AbsenceScore = -2;
 /** The same if a suspect had a run there: both queues may crash workers. */
 constexpr double ExplainedAbsenceScore = -0.5;
-/** A queue becomes the suspect at the first score, and stays it above the second. */
+/** A queue becomes a suspect at the first score, and is cleared below the second. */
 constexpr double SuspectScore = 0.5;
 constexpr double ClearedScore = 0.35;
 constexpr double MaxScore = 3;
 constexpr double MinScore = -2;
-/** Smallest share of all jobs that is told apart. */
+/** Lower bound of a queue's share of all jobs, so that its likelihood is defined. */
 constexpr double MinShare = 0.01;
 
 /** Number of distinct jobs that started on the worker after the youngest run of the queue; -1 if it had no run. */
--- a/request/queue_isolation.h
+++ b/request/queue_isolation.h
@@ -46,7 +46,7 @@
      */
     double maxJobsPerWorker(Milliseconds runTime, MonotonicTime now) const;
 
-    /** Selects the groups anew if that is due. Returns whether the set of isolated queues has changed. */
+    /** Selects the group anew if that is due. Returns whether the set of isolated queues has changed. */
     bool update(const WorkerDirectory &directory, const OperatorStateCache &operatorState, MonotonicTime now);
 
     bool isIsolated(const std::string &queue) const
@@ -79,7 +79,7 @@
         return lastCrashAt_;
     }
 
-    /** The worker's position in the group, from 0 for the first to 1; 0 for others. */
+    /** The worker's position in the group, from 0 for the first to below 1; 0 for workers outside of it. */
     double positionOf(const std::string &agent) const;
 
     double score(const std::string &queue, MonotonicTime now) const
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -169,13 +169,7 @@
     void updateDrainRate(MonotonicTime now);
     void enqueueJob(Job &job, MonotonicTime now);
     void checkDeadlines(MonotonicTime now);
-    void updateIsolation(const OperatorStateCache &operatorState, MonotonicTime now);
-    std::vector<std::string> usableIsolatedAgents(MonotonicTime now) const;
-    std::string findProbeAgent(MonotonicTime now) const;
     bool isWorthRisk(const Job &job, const Step &step, const WorkerView &view, MonotonicTime now) const;
-    bool isOwnIsolatedJobLast(const wire::WorkerCrash &crash) const;
-    bool needsProbe(const Job &job, int step, int task) const;
-    bool isWithoutHope(const Job &job, MonotonicTime now) const;
     void dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now);
     bool dispatchJob(Job &job, const OperatorStateCache &operatorState, MonotonicTime now);
     bool isReady(const Job &job, const Step &step) const;
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -338,7 +338,7 @@
 WorkerReply WorkSimulation::executeStart(int agent, const StartRun &start)
 {
     WorkerModel &model = worker(agent);
-    const WorkerReply reply = model.call(start, now_);
+    WorkerReply reply = model.call(start, now_);
     if (const auto crashTime = model.crashTime()) {
         actions_[{*crashTime, ++lastActionId_}] = [this, agent, key = start.key] { crashIfDue(agent, key); };
     }
