--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -363,8 +363,7 @@
     const bool isCapacityUpdateDue
         = report.freeCapacity != entry.lastFreeCapacitySent && elapsed >= capacityUpdateDelay(entry, report);
     if (entry.ends.hasUnsent() || entry.lastCrashSent < crashLog_.lastNumber() || entry.isAskedForState
-        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue
-        || isOperatorStateDue(entry, now)) {
+        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue || isOperatorStateDue(entry, now)) {
         send(address, entry, report, now);
     }
 }
