--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -108,8 +108,7 @@
     return found != directory_.views().end() && directory_.isUsable(found->second, now);
 }
 
-/** How long workers that crashed are down is not known. While the group crashes, it is left to jobs that can be in
- * time. */
+// How long a crashed worker is down is not known. While the group crashes, it is left to jobs that can be in time.
 bool CrashContainment::isWithoutHope(const wire::Route &route, MonotonicTime latestStartAt, MonotonicTime now) const
 {
     if (!isIsolated(route)) {
--- a/request/crash_log.cpp
+++ b/request/crash_log.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-/** No caller waits for longer, so older crashes concern no job. */
-constexpr Milliseconds RetentionTime{60'000};
 constexpr size_t MaxCrashes = 32;
 
 wire::WorkerCrash toWire(const WorkerCrash &crash, MonotonicTime now)
@@ -33,7 +31,7 @@
 void CrashLog::add(WorkerCrash crash, MonotonicTime now)
 {
     crashes_.emplace_back(++lastNumber_, std::move(crash));
-    while (crashes_.size() > MaxCrashes || now - crashes_.front().second.at > RetentionTime) {
+    while (crashes_.size() > MaxCrashes || now - crashes_.front().second.at > CrashRetentionTime) {
         crashes_.pop_front();
     }
 }
@@ -42,7 +40,7 @@
 {
     std::vector<wire::WorkerCrash> reports;
     for (const auto &[each, crash] : crashes_) {
-        if (each > number && now - crash.at <= RetentionTime) {
+        if (each > number && now - crash.at <= CrashRetentionTime) {
             reports.push_back(toWire(crash, now));
         }
     }
--- a/request/crash_log.h
+++ b/request/crash_log.h
@@ -13,6 +13,9 @@
 
 namespace marjoramferry {
 
+/** Agents and entries remember crashes for this long. Callers seldom wait for longer. */
+inline constexpr Milliseconds CrashRetentionTime{60'000};
+
 /** A run that was on a worker when the worker crashed. */
 struct CrashedRun
 {
--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <limits>
 #include <set>
-#include <vector>
 
 namespace marjoramferry {
 
--- a/request/crash_suspicion.h
+++ b/request/crash_suspicion.h
@@ -39,10 +39,8 @@
 
     double score(const std::string &queue, MonotonicTime now) const;
 
-    /** The queue's share of all jobs. */
-    double shareOfJobs(const std::string &queue, MonotonicTime now) const;
-
 private:
+    double shareOfJobs(const std::string &queue, MonotonicTime now) const;
     void addSuspect(MonotonicTime now);
 
     std::map<std::string, DecayingCount> jobs_; ///< By queue.
--- a/request/crash_tracker.cpp
+++ b/request/crash_tracker.cpp
@@ -1,20 +1,20 @@
 #include "request/crash_tracker.h"
 
+#include "request/crash_log.h"
+
 #include <algorithm>
 
 namespace marjoramferry {
 
 namespace {
 
-/** Longer than any caller waits for its job, over all its submissions. */
-constexpr Milliseconds RetentionTime{60'000};
 constexpr size_t MaxCrashes = 4096;
 
 } // namespace
 
 bool CrashTracker::record(const wire::WorkerCrash &crash, MonotonicTime now)
 {
-    while (!crashes_.empty() && (crashes_.size() >= MaxCrashes || now - crashes_.front().at > RetentionTime)) {
+    while (!crashes_.empty() && (crashes_.size() >= MaxCrashes || now - crashes_.front().at > CrashRetentionTime)) {
         forgetOldest();
     }
     const Process process{crash.worker, crash.bornMs};
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -18,6 +18,8 @@
 /** The latency objective of a job is its run time times StretchFactor plus TargetLatency. */
 constexpr double StretchFactor = 1.6;
 constexpr Milliseconds TargetLatency{60};
+/** The service of all workers and queues. */
+inline constexpr const char *ServiceName = "orders";
 
 struct SimulationOptions
 {
