Show a job as failed for crashes of workers only if its task is their likely cause

Cause: a task was given up after two crashes of workers on which it was running, whether it had just started or had run for long beside younger ones. Class of fault: a verdict from coincidence. Change: a crash counts against the job that started last on the worker and at most 100 ms before; two such crashes make the job fail. A task on three crashed workers is not started again, but its job is answered as interrupted, as the cause is not known. Entries log task_on_crashed_worker with both counts and the run's age. Tests: two new ones of crash containment were red (failed after two crashes beside younger tasks; failed, not interrupted, after three).

--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -9,11 +9,21 @@
 
 namespace {
 
-/** A task is given up, and its job fails, once so many workers crashed while they ran it. */
-constexpr int MaxCrashes = 2;
+/** A job fails once a task of it is the likely cause of so many crashes of workers. */
+constexpr int MaxLikelyCaused = 2;
+/** A task is not started again after so many crashes of workers on which it was running. */
+constexpr int MaxCrashes = 3;
 /** A task that may have crashed a worker is not started again before its queue has been quiet for this long. */
 constexpr Milliseconds ProbeDelay{1000};
 
+CrashVerdict verdictOn(const CrashCounts &counts)
+{
+    if (counts.likelyCaused >= MaxLikelyCaused) {
+        return CrashVerdict::LikelyCause;
+    }
+    return counts.all >= MaxCrashes ? CrashVerdict::CauseUnclear : CrashVerdict::MayStart;
+}
+
 } // namespace
 
 CrashContainment::CrashContainment(const WorkerDirectory &directory)
@@ -41,15 +51,16 @@
     if (!crashes_.record(crash, now)) {
         return false;
     }
-    const auto isRepeated
-        = [&](const wire::CrashedRun &run) { return isGivenUp(run.jobId, run.stepIndex, run.taskIndex); };
+    const auto isGivenUp = [&](const wire::CrashedRun &run) {
+        return verdictOnTask(run.jobId, run.stepIndex, run.taskIndex) != CrashVerdict::MayStart;
+    };
     out_.log(LogEvent::Level::Warning,
              "worker_crash_recorded",
              {{"agent", agent},
               {"worker", crash.worker},
               {"ago_ms", absl::StrCat(crash.agoMs)},
               {"runs", absl::StrCat(crash.runs.size())},
-              {"repeated_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isRepeated))}});
+              {"given_up_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isGivenUp))}});
     const auto view = directory_.views().find(agent);
     if (view != directory_.views().end()) {
         const std::string &service = view->second.state.serviceName;
@@ -80,14 +91,19 @@
               {"known_agents", absl::StrCat(directory_.views().size())}});
 }
 
-bool CrashContainment::isGivenUp(const std::string &jobId, int step, int task) const
+CrashVerdict CrashContainment::verdictOnTask(const std::string &jobId, int step, int task) const
+{
+    return verdictOn(countsOf(jobId, step, task));
+}
+
+CrashVerdict CrashContainment::verdictOnJob(const std::string &jobId) const
 {
-    return crashes_.countCrashes(jobId, step, task) >= MaxCrashes;
+    return verdictOn(crashes_.highestCountsOf(jobId));
 }
 
-bool CrashContainment::hasTaskGivenUp(const std::string &jobId) const
+CrashCounts CrashContainment::countsOf(const std::string &jobId, int step, int task) const
 {
-    return crashes_.mostCrashes(jobId) >= MaxCrashes;
+    return crashes_.countsOf(jobId, step, task);
 }
 
 const QueueIsolation *CrashContainment::isolationOf(const std::string &service) const
@@ -122,7 +138,8 @@
 
 bool CrashContainment::needsProbe(const wire::Route &route, const std::string &jobId, int step, int task) const
 {
-    return isIsolated(route) && crashes_.countCrashes(jobId, step, task) > 0;
+    const CrashCounts counts = countsOf(jobId, step, task);
+    return isIsolated(route) && (counts.likelyCaused > 0 || counts.all + 1 >= MaxCrashes);
 }
 
 /** The worker that other tasks use last, unless it is the only one that is up. */
--- a/request/crash_containment.h
+++ b/request/crash_containment.h
@@ -14,6 +14,13 @@
 
 namespace marjoramferry {
 
+/** Whether a task may be started again after crashes of workers on which it was running. */
+enum class CrashVerdict {
+    MayStart,
+    LikelyCause, ///< It is the likely cause of so many crashes that its job fails.
+    CauseUnclear, ///< It was on so many crashed workers that it must not be started again, whatever the cause.
+};
+
 /**
  * Limits what tasks that crash their workers cost others: gives such tasks up, and keeps their queue to workers of its
  * own. Decides for all services.
@@ -38,11 +45,13 @@
     /** Selects the workers of isolated queues. */
     void update(const OperatorStateCache &operatorState, MonotonicTime now);
 
-    /** Whether the task has crashed so many workers that it must not be started again. */
-    bool isGivenUp(const std::string &jobId, int step, int task) const;
+    CrashVerdict verdictOnTask(const std::string &jobId, int step, int task) const;
+
+    /** The verdict on the task of the job that crashed the most workers. */
+    CrashVerdict verdictOnJob(const std::string &jobId) const;
 
-    /** Whether this holds for any task of the job. */
-    bool hasTaskGivenUp(const std::string &jobId) const;
+    /** The crashes of workers on which the task was running. */
+    CrashCounts countsOf(const std::string &jobId, int step, int task) const;
 
     bool isIsolated(const wire::Route &route) const;
 
--- a/request/crash_tracker.cpp
+++ b/request/crash_tracker.cpp
@@ -9,6 +9,24 @@
 namespace {
 
 constexpr size_t MaxCrashes = 4096;
+/** A task that crashes its worker is taken to do so within this time of its start. */
+constexpr Milliseconds MaxTimeToCrash{100};
+
+/** The jobs that started last on the worker, so shortly before the crash that they may have caused it. */
+std::set<std::string> findLikelyCauses(const wire::WorkerCrash &crash)
+{
+    std::set<std::string> jobs;
+    if (crash.runs.empty()) {
+        return jobs;
+    }
+    const int youngestMs = std::ranges::min_element(crash.runs, {}, &wire::CrashedRun::ageMs)->ageMs;
+    for (const wire::CrashedRun &run : crash.runs) {
+        if (run.ageMs == youngestMs && youngestMs <= MaxTimeToCrash.count()) {
+            jobs.insert(run.jobId);
+        }
+    }
+    return jobs;
+}
 
 } // namespace
 
@@ -22,38 +40,46 @@
         return false;
     }
     Crash recorded{process, now - Milliseconds(crash.agoMs), {}};
-    std::ranges::transform(crash.runs, std::back_inserter(recorded.tasks), [](const wire::CrashedRun &run) {
-        return RunKey{run.jobId, run.stepIndex, run.taskIndex, 0};
+    const std::set<std::string> likelyCauses = findLikelyCauses(crash);
+    std::ranges::transform(crash.runs, std::back_inserter(recorded.tasks), [&](const wire::CrashedRun &run) {
+        const bool isLikelyCause = likelyCauses.contains(run.jobId) && run.ageMs <= MaxTimeToCrash.count();
+        return AffectedTask{RunKey{run.jobId, run.stepIndex, run.taskIndex, 0}, isLikelyCause};
     });
-    std::ranges::for_each(recorded.tasks, [this](const RunKey &task) { ++counts_[task]; });
+    std::ranges::for_each(recorded.tasks, [this](const AffectedTask &affected) { addToCounts(affected, 1); });
     crashes_.push_back(std::move(recorded));
     return true;
 }
 
-int CrashTracker::countCrashes(const std::string &jobId, int step, int task) const
+CrashCounts CrashTracker::countsOf(const std::string &jobId, int step, int task) const
 {
     const auto found = counts_.find(RunKey{jobId, step, task, 0});
-    return found == counts_.end() ? 0 : found->second;
+    return found == counts_.end() ? CrashCounts() : found->second;
 }
 
-int CrashTracker::mostCrashes(const std::string &jobId) const
+CrashCounts CrashTracker::highestCountsOf(const std::string &jobId) const
 {
-    int most = 0;
+    CrashCounts highest;
     for (auto each = counts_.lower_bound(RunKey{jobId, 0, 0, 0}); each != counts_.end() && each->first.jobId == jobId;
          ++each) {
-        most = std::max(most, each->second);
+        highest.all = std::max(highest.all, each->second.all);
+        highest.likelyCaused = std::max(highest.likelyCaused, each->second.likelyCaused);
     }
-    return most;
+    return highest;
 }
 
-void CrashTracker::forgetOldest()
+void CrashTracker::addToCounts(const AffectedTask &affected, int change)
 {
-    for (const RunKey &task : crashes_.front().tasks) {
-        const auto found = counts_.find(task);
-        if (--found->second == 0) {
-            counts_.erase(found);
-        }
+    CrashCounts &counts = counts_[affected.task];
+    counts.all += change;
+    counts.likelyCaused += affected.isLikelyCause ? change : 0;
+    if (counts.all == 0) {
+        counts_.erase(affected.task);
     }
+}
+
+void CrashTracker::forgetOldest()
+{
+    std::ranges::for_each(crashes_.front().tasks, [this](const AffectedTask &affected) { addToCounts(affected, -1); });
     known_.erase(crashes_.front().process);
     crashes_.pop_front();
 }
--- a/request/crash_tracker.h
+++ b/request/crash_tracker.h
@@ -15,6 +15,15 @@
 
 namespace marjoramferry {
 
+/** The crashes of workers on which a task was running. */
+struct CrashCounts
+{
+    int all = 0;
+    int likelyCaused = 0; ///< Those shortly before which the task's job was the last to start on the worker.
+
+    bool operator==(const CrashCounts &) const = default;
+};
+
 /** Counts under how many crashes of workers each task was running, for all entries' jobs. */
 class CrashTracker
 {
@@ -22,27 +31,33 @@
     /** Records a crash that an agent reported; returns false if it was recorded before. */
     bool record(const wire::WorkerCrash &crash, MonotonicTime now);
 
-    /** The number of workers that crashed while the task was running on them. */
-    int countCrashes(const std::string &jobId, int step, int task) const;
+    CrashCounts countsOf(const std::string &jobId, int step, int task) const;
 
-    /** The same for the task of the job with the most crashes. */
-    int mostCrashes(const std::string &jobId) const;
+    /** The highest of each count among the tasks of the job. */
+    CrashCounts highestCountsOf(const std::string &jobId) const;
 
 private:
     using Process = std::pair<std::string, int64_t>; ///< Worker and its start time.
 
+    struct AffectedTask
+    {
+        RunKey task; ///< With attempt 0.
+        bool isLikelyCause = false;
+    };
+
     struct Crash
     {
         Process process;
         MonotonicTime at;
-        std::vector<RunKey> tasks; ///< With attempt 0.
+        std::vector<AffectedTask> tasks;
     };
 
+    void addToCounts(const AffectedTask &affected, int change);
     void forgetOldest();
 
     std::deque<Crash> crashes_;
     std::set<Process> known_;
-    std::map<RunKey, int> counts_;
+    std::map<RunKey, CrashCounts> counts_;
 };
 
 } // namespace marjoramferry
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -116,8 +116,8 @@
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
     containment_.recordJob(route, added.remainingWork, now);
-    if (containment_.hasTaskGivenUp(jobId)) {
-        finishJob(jobId, ResponseStatus::Failed, "crashes_workers", now);
+    if (const CrashVerdict verdict = containment_.verdictOnJob(jobId); verdict != CrashVerdict::MayStart) {
+        giveUpAfterCrashes(jobId, verdict, now);
         return;
     }
     if (containment_.isWithoutHope(route, added.latestStartAt, now)) {
@@ -505,12 +505,35 @@
         return;
     }
     for (const wire::CrashedRun &run : crash.runs) {
-        if (isOwnJob(run.jobId) && containment_.isGivenUp(run.jobId, run.stepIndex, run.taskIndex)) {
-            finishJob(run.jobId, ResponseStatus::Failed, "crashes_workers", now);
+        if (!isOwnJob(run.jobId)) {
+            continue;
+        }
+        const CrashCounts counts = containment_.countsOf(run.jobId, run.stepIndex, run.taskIndex);
+        out_.log(LogEvent::Level::Info,
+                 "task_on_crashed_worker",
+                 {{"request", jobs_.at(run.jobId).requestId},
+                  {"job", run.jobId},
+                  {"task", absl::StrCat(run.stepIndex, "/", run.taskIndex)},
+                  {"worker", crash.worker},
+                  {"age_ms", absl::StrCat(run.ageMs)},
+                  {"crashes", absl::StrCat(counts.all)},
+                  {"likely_caused", absl::StrCat(counts.likelyCaused)}});
+        const CrashVerdict verdict = containment_.verdictOnTask(run.jobId, run.stepIndex, run.taskIndex);
+        if (verdict != CrashVerdict::MayStart) {
+            giveUpAfterCrashes(run.jobId, verdict, now);
         }
     }
 }
 
+void WorkScheduler::giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now)
+{
+    const bool isCause = verdict == CrashVerdict::LikelyCause;
+    finishJob(jobId,
+              isCause ? ResponseStatus::Failed : ResponseStatus::Interrupted,
+              isCause ? "crashes_workers" : "on_crashed_workers",
+              now);
+}
+
 void WorkScheduler::removeWorker(const std::string &worker)
 {
     health_.removeWorker(worker);
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -183,6 +183,7 @@
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
+    void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
     void withdrawRuns(const std::string &jobId, MonotonicTime now);
     Milliseconds retryAfterDelay() const;
 
--- a/tests/request/crash_containment_test.cpp
+++ b/tests/request/crash_containment_test.cpp
@@ -24,6 +24,15 @@
     return crash;
 }
 
+/** A crash under a task that had run for long, and under another job's task that had just started. */
+wire::WorkerCrash crashBeside(const std::string &job, const std::string &queue, const std::string &worker)
+{
+    wire::WorkerCrash crash = crashUnder(absl::StrCat("last-on-", worker), "status", worker);
+    crash.runs.push_back(crashUnder(job, queue, worker).runs.front());
+    crash.runs.back().ageMs = 700;
+    return crash;
+}
+
 /** Eight idle workers, and a queue "quote" that has crashed the worker of one of them. */
 struct IsolatedQueueFixture : SchedulerFixture
 {
@@ -155,3 +164,48 @@
     REQUIRE(responses.size() == 1);
     CHECK(responses[0].status != ResponseStatus::Rejected);
 }
+
+// Guards against jobs shown as failed because their tasks stood beside crashes that they did not cause.
+TEST_CASE("A job whose task stood beside two crashes of workers is served, and not answered as failed")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.connectAgent("b", "north", 16'000);
+    fixture.submit("survey", route("survey", 0), 1, 900);
+    MonotonicTime now = Start;
+    for (const std::string worker : {"w-1", "w-2"}) {
+        const auto orders = fixture.takeOrders(now);
+        REQUIRE(orders.size() == 1);
+        now += Milliseconds(700);
+        const auto &[agent, order] = orders.front();
+        fixture.scheduler.handleWorkerCrash(agent, crashBeside("survey", "survey", worker), now);
+        fixture.endRun(agent, order.runNumber, wire::RunOutcome::GONE, now);
+        fixture.reportCapacity("a", 16'000, now);
+        fixture.reportCapacity("b", 16'000, now);
+    }
+    CHECK(fixture.scheduler.takeResponses().empty());
+    const auto orders = fixture.takeOrders(now);
+    REQUIRE(orders.size() == 1);
+    fixture.endRun(orders.front().first, orders.front().second.runNumber, wire::RunOutcome::DONE, now, 900);
+    const auto responses = fixture.scheduler.takeResponses();
+    REQUIRE(responses.size() == 1);
+    CHECK(responses.front().status == ResponseStatus::Complete);
+}
+
+// Guards against a task that is started again and again although each worker crashes some time after its start.
+TEST_CASE("A job whose task stood beside three crashes is interrupted and not started again, also when sent again")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.submit("survey", route("survey", 0), 1, 900);
+    REQUIRE(fixture.takeOrders(Start).size() == 1);
+    for (const std::string worker : {"w-1", "w-2", "w-3"}) {
+        fixture.scheduler.handleWorkerCrash("a", crashBeside("survey", "survey", worker), Start);
+    }
+    fixture.submit("survey", route("survey", 0), 1, 900);
+    const auto responses = fixture.scheduler.takeResponses();
+    REQUIRE(responses.size() == 2);
+    CHECK(responses[0].status == ResponseStatus::Interrupted);
+    CHECK(responses[1].status == ResponseStatus::Interrupted);
+    CHECK(fixture.takeOrders(Start + Milliseconds(700)).empty());
+}
--- a/tests/request/crash_tracker_test.cpp
+++ b/tests/request/crash_tracker_test.cpp
@@ -32,13 +32,13 @@
     wire::WorkerCrash restarted = crashOf("b", {1});
     restarted.bornMs = 9;
     CHECK(tracker.record(restarted, Start + Milliseconds(900)));
-    CHECK(tracker.countCrashes("job", 0, 0) == 1);
-    CHECK(tracker.countCrashes("job", 0, 1) == 3);
-    CHECK(tracker.countCrashes("job", 0, 2) == 0);
-    CHECK(tracker.countCrashes("other", 0, 1) == 0);
-    CHECK(tracker.mostCrashes("job") == 3);
-    CHECK(tracker.mostCrashes("other") == 0);
-    CHECK(tracker.mostCrashes("a") == 0);
+    CHECK(tracker.countsOf("job", 0, 0).all == 1);
+    CHECK(tracker.countsOf("job", 0, 1).all == 3);
+    CHECK(tracker.countsOf("job", 0, 2).all == 0);
+    CHECK(tracker.countsOf("other", 0, 1).all == 0);
+    CHECK(tracker.highestCountsOf("job").all == 3);
+    CHECK(tracker.highestCountsOf("other").all == 0);
+    CHECK(tracker.highestCountsOf("a").all == 0);
 }
 
 TEST_CASE("Crashes are forgotten after a minute")
@@ -47,5 +47,24 @@
     tracker.record(crashOf("a", {0}), Start);
     tracker.record(crashOf("b", {0}), Start + Milliseconds(30'000));
     tracker.record(crashOf("c", {7}), Start + Milliseconds(61'000));
-    CHECK(tracker.countCrashes("job", 0, 0) == 1);
+    CHECK(tracker.countsOf("job", 0, 0).all == 1);
+}
+
+// Guards against a verdict on tasks that had run for long, or after which another job's task started.
+TEST_CASE("Only the job that started last, shortly before the crash, is a likely cause of it")
+{
+    const auto crash = [](const std::string &worker, int ageMs, int otherAgeMs) {
+        wire::WorkerCrash result = crashOf(worker, {0, 1});
+        result.runs[0].ageMs = ageMs;
+        result.runs[1].ageMs = otherAgeMs;
+        result.runs[1].jobId = "other";
+        return result;
+    };
+    CrashTracker tracker;
+    tracker.record(crash("a", 15, 90), Start);
+    tracker.record(crash("b", 16, 15), Start);
+    tracker.record(crash("c", 400, 900), Start);
+    CHECK(tracker.countsOf("job", 0, 0).all == 3);
+    CHECK(tracker.countsOf("job", 0, 0).likelyCaused == 1);
+    CHECK(tracker.countsOf("other", 0, 1).likelyCaused == 1);
 }
