Do not answer a job as rejected if a task of it may have run

Callers saw: 503, which says that no task of the job has run, for a job sent again after its first submission was interrupted here, or was run by another entry until its worker crashed. Cause: a rejection looked only at whether the present submission had started a task. Change: the entry remembers for a minute which jobs it interrupted after an order, and asks the crash reports of other entries' runs; such a job is answered as interrupted.

--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -106,6 +106,11 @@
     return crashes_.countsOf(jobId, step, task);
 }
 
+bool CrashContainment::hasCrashedUnder(const std::string &jobId) const
+{
+    return crashes_.highestCountsOf(jobId).all > 0;
+}
+
 const QueueIsolation *CrashContainment::isolationOf(const std::string &service) const
 {
     const auto found = isolations_.find(service);
--- a/request/crash_containment.h
+++ b/request/crash_containment.h
@@ -53,6 +53,9 @@
     /** The crashes of workers on which the task was running. */
     CrashCounts countsOf(const std::string &jobId, int step, int task) const;
 
+    /** Whether a worker has crashed on which a task of the job was running. */
+    bool hasCrashedUnder(const std::string &jobId) const;
+
     bool isIsolated(const wire::Route &route) const;
 
     /** The isolation of the service's queues; nullptr if it has had no job. */
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -643,6 +643,13 @@
     enqueueJob(job, now);
 }
 
+/** Whether a task of this or an earlier submission of the job may have run, also at another entry's order. */
+bool WorkScheduler::mayHaveRun(const Job &job, MonotonicTime now)
+{
+    return job.hasStarted || runsByJob_.contains(job.id) || interruptedJobs_.contains(job.id, now)
+        || containment_.hasCrashedUnder(job.id);
+}
+
 void WorkScheduler::finishJob(const std::string &jobId,
                               ResponseStatus status,
                               const std::string &reason,
@@ -650,6 +657,13 @@
 {
     const Job job = std::move(jobs_.at(jobId));
     jobs_.erase(jobId);
+    // A rejection tells the caller that no task has run.
+    if (status == ResponseStatus::Rejected && mayHaveRun(job, now)) {
+        status = ResponseStatus::Interrupted;
+    }
+    if (status == ResponseStatus::Interrupted && job.hasStarted) {
+        interruptedJobs_.add(jobId, now);
+    }
     if (const auto position = queuePositions_.find(jobId); position != queuePositions_.end()) {
         queue_.erase(position->second);
         queuePositions_.erase(position);
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "request/crash_containment.h"
+#include "request/interrupted_jobs.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
 #include "request/work_types.h"
@@ -183,6 +184,7 @@
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
+    bool mayHaveRun(const Job &job, MonotonicTime now);
     void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
     void withdrawRuns(const std::string &jobId, MonotonicTime now);
     Milliseconds retryAfterDelay() const;
@@ -192,6 +194,7 @@
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
     CrashContainment containment_;
+    InterruptedJobs interruptedJobs_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -348,3 +348,27 @@
     }
     CHECK(orders == 1);
 }
+
+// Guards against a refusal that says a job has not run, though a run of its earlier submission was ordered here.
+TEST_CASE("A job that was interrupted while it ran, and is sent again under overload, is not answered as rejected")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    const uint64_t firstToken = fixture.submit("job", route("quote", 0), 2, 60);
+    const auto orders = fixture.takeOrders(Start);
+    REQUIRE(orders.size() == 2);
+    fixture.scheduler.abandonCall(firstToken, Start);
+    const bool haveRunsEnded = GENERATE(false, true);
+    if (haveRunsEnded) {
+        for (const auto &[agent, order] : orders) {
+            fixture.endRun(agent, order.runNumber, wire::RunOutcome::GONE, Start);
+        }
+    }
+    fixture.reportCapacity("a", 0, Start);
+    const uint64_t secondToken = fixture.submit("job", route("quote", 0), 2, 60, Start + Milliseconds(10));
+    fixture.takeOrders(Start + Milliseconds(2000));
+    const auto responses = fixture.scheduler.takeResponses();
+    REQUIRE(responses.size() == 1);
+    CHECK(responses[0].token == secondToken);
+    CHECK(responses[0].status == ResponseStatus::Interrupted);
+}
