Give the owner side a folder of its own, apart from the platform's roles

Cause: request/ held two systems in one flat folder, and they met in their headers: entry_command.h included agent_core.h for the events of a connection, and WorkEntry included EntryCore for LinkMessage and the HTTP types.

Change: the files that only our own interface uses move to owner/ (library mf_owner), their tests to tests/owner/. The shared events and commands move to event/ (mf_event): messages, links and peers, HTTP requests and responses, log events, life of a process, JSON of errors, and the outbox as a template. The modules of WorkEntry issue WorkCommand, which has the three alternatives that they use; EntryCommand stays with the owner.

Result: no change of behaviour.

--- a/connection/endpoint_client.h
+++ b/connection/endpoint_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection/http_client.h"
-#include "request/agent_core.h"
+#include "owner/agent_core.h"
 
 #include <functional>
 
--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -1,7 +1,7 @@
 #include "connection/http_server.h"
 
 #include "core/error.h"
-#include "request/job_json.h"
+#include "event/error_json.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/ascii.h>
--- a/connection/http_server.h
+++ b/connection/http_server.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/bounded_queue.h"
-#include "request/entry_core.h"
+#include "event/http_event.h"
 
 #include <cstdint>
 #include <functional>
--- a/connection/link_loop.h
+++ b/connection/link_loop.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/bounded_queue.h"
-#include "request/entry_command.h"
-#include "request/message.h"
+#include "event/link_event.h"
+#include "event/message.h"
 
 #include <atomic>
 #include <functional>
--- a/connection/message_codec.h
+++ b/connection/message_codec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/message.h"
+#include "event/message.h"
 
 #include <string>
 #include <string_view>
--- a/connection/table_client.cpp
+++ b/connection/table_client.cpp
@@ -1,6 +1,6 @@
 #include "connection/table_client.h"
 
-#include "request/message.h"
+#include "event/message.h"
 
 #include <nlohmann/json.hpp>
 
--- a/request/admission.cpp
+++ b/owner/admission.cpp
@@ -1,4 +1,4 @@
-#include "request/admission.h"
+#include "owner/admission.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/request/admission.h
+++ b/owner/admission.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/agent_directory.h"
-#include "request/run_time_model.h"
+#include "owner/agent_directory.h"
+#include "owner/run_time_model.h"
 #include "version/catalog.h"
 
 #include <messages_types.h>
--- a/request/agent_core.h
+++ b/owner/agent_core.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/log_event.h"
-#include "request/message.h"
-#include "request/start_registry.h"
+#include "event/link_event.h"
+#include "event/log_event.h"
+#include "event/process_event.h"
+#include "owner/start_registry.h"
 #include "version/catalog.h"
 #include "version/freshness.h"
 
@@ -57,33 +58,8 @@
     int runMs = 0;
 };
 
-struct PeerMessage
-{
-    std::string address;
-    Message message;
-};
-
-struct PeerClosed
-{
-    std::string address;
-};
-
-struct Tick
-{
-};
-
-struct DrainRequested
-{
-};
-
 using AgentEvent = std::variant<Tick, PeerMessage, PeerClosed, EndpointAnnouncement, EndpointResult, DrainRequested>;
 
-struct SendToPeer
-{
-    std::string address;
-    Message message;
-};
-
 /** Calls the endpoint with a task. The call must be dropped if it can't be sent by notAfter. */
 struct CallEndpoint
 {
@@ -96,10 +72,6 @@
     Milliseconds timeout{0};
 };
 
-struct Stop
-{
-};
-
 using AgentCommand = std::variant<SendToPeer, CallEndpoint, LogEvent, Observation, Stop>;
 
 /**
--- a/request/agent_directory.cpp
+++ b/owner/agent_directory.cpp
@@ -1,4 +1,4 @@
-#include "request/agent_directory.h"
+#include "owner/agent_directory.h"
 
 #include <algorithm>
 #include <ranges>
--- a/request/agent_directory.h
+++ b/owner/agent_directory.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/entry_command.h"
+#include "owner/entry_command.h"
 #include "version/catalog.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/request/agent_registrar.cpp
+++ b/owner/agent_registrar.cpp
@@ -1,4 +1,4 @@
-#include "request/agent_registrar.h"
+#include "owner/agent_registrar.h"
 
 #include <algorithm>
 
--- a/request/agent_registrar.h
+++ b/owner/agent_registrar.h
@@ -2,8 +2,8 @@
 
 #include "core/table.h"
 #include "core/time.h"
-#include "request/entry_command.h"
-#include "request/shard_recovery.h"
+#include "owner/entry_command.h"
+#include "owner/shard_recovery.h"
 
 #include <cstdint>
 #include <map>
--- a/request/answer_cache.cpp
+++ b/owner/answer_cache.cpp
@@ -1,6 +1,6 @@
-#include "request/answer_cache.h"
+#include "owner/answer_cache.h"
 
-#include "request/admission.h"
+#include "owner/admission.h"
 
 #include <algorithm>
 #include <ranges>
--- a/request/answer_cache.h
+++ b/owner/answer_cache.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/job_run.h"
+#include "owner/job_run.h"
 
 #include <deque>
 #include <string>
--- a/request/claim_log.cpp
+++ b/owner/claim_log.cpp
@@ -1,4 +1,4 @@
-#include "request/claim_log.h"
+#include "owner/claim_log.h"
 
 #include "core/error.h"
 #include "version/json_fields.h"
--- a/request/dispatcher.cpp
+++ b/owner/dispatcher.cpp
@@ -1,6 +1,6 @@
-#include "request/dispatcher.h"
+#include "owner/dispatcher.h"
 
-#include "request/evidence.h"
+#include "owner/evidence.h"
 
 #include <algorithm>
 #include <ranges>
--- a/request/dispatcher.h
+++ b/owner/dispatcher.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "request/agent_directory.h"
-#include "request/entry_command.h"
-#include "request/fair_queue.h"
-#include "request/job_run.h"
-#include "request/placement.h"
+#include "owner/agent_directory.h"
+#include "owner/entry_command.h"
+#include "owner/fair_queue.h"
+#include "owner/job_run.h"
+#include "owner/placement.h"
 #include "version/cluster_state_tracker.h"
 
 #include <map>
--- a/request/entry_core.cpp
+++ b/owner/entry_core.cpp
@@ -1,8 +1,9 @@
-#include "request/entry_core.h"
+#include "owner/entry_core.h"
 
 #include "core/error.h"
 #include "core/shard.h"
-#include "request/evidence.h"
+#include "event/error_json.h"
+#include "owner/evidence.h"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
--- a/request/entry_core.h
+++ b/owner/entry_core.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "core/error.h"
 #include "core/time.h"
-#include "request/agent_directory.h"
-#include "request/agent_registrar.h"
-#include "request/entry_command.h"
-#include "request/job_json.h"
-#include "request/job_owner.h"
-#include "request/job_router.h"
+#include "event/http_event.h"
+#include "event/link_event.h"
+#include "event/process_event.h"
+#include "owner/agent_directory.h"
+#include "owner/agent_registrar.h"
+#include "owner/entry_command.h"
+#include "owner/job_json.h"
+#include "owner/job_owner.h"
+#include "owner/job_router.h"
 #include "version/cluster_state_tracker.h"
 #include "version/note_publisher.h"
 
@@ -36,27 +40,6 @@
     uint64_t seed = 1;
 };
 
-struct HttpRequest
-{
-    uint64_t token = 0;
-    std::string method;
-    std::string path;
-    std::string body;
-    std::map<std::string, std::string> headers; ///< By lower-case name; only those the server is set to keep.
-    std::map<std::string, std::string> query; ///< Empty unless the server is set to keep it.
-};
-
-struct LinkMessage
-{
-    LinkId link = LocalLink;
-    Message message;
-};
-
-struct LinkClosed
-{
-    LinkId link = LocalLink;
-};
-
 struct TableCallCompleted
 {
     TableCaller caller = TableCaller::ClusterState;
--- a/request/evidence.cpp
+++ b/owner/evidence.cpp
@@ -1,4 +1,4 @@
-#include "request/evidence.h"
+#include "owner/evidence.h"
 
 namespace marjoramferry {
 
--- a/request/evidence.h
+++ b/owner/evidence.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/agent_directory.h"
+#include "owner/agent_directory.h"
 #include "version/cluster_state_tracker.h"
 
 #include <messages_types.h>
--- a/request/fair_queue.cpp
+++ b/owner/fair_queue.cpp
@@ -1,4 +1,4 @@
-#include "request/fair_queue.h"
+#include "owner/fair_queue.h"
 
 #include <algorithm>
 #include <numeric>
--- a/request/fair_queue.h
+++ b/owner/fair_queue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/job_run.h"
+#include "owner/job_run.h"
 #include "version/catalog.h"
 
 #include <deque>
--- a/request/job_json.cpp
+++ b/owner/job_json.cpp
@@ -1,4 +1,4 @@
-#include "request/job_json.h"
+#include "owner/job_json.h"
 
 #include "core/shard.h"
 #include "version/json_fields.h"
@@ -145,11 +145,4 @@
     return body.dump();
 }
 
-std::string renderError(const Error &error)
-{
-    return json{
-        {"error", {{"kind", errorKindName(error.kind())}, {"field", error.subject()}, {"message", error.what()}}}}
-        .dump();
-}
-
 } // namespace marjoramferry
--- a/request/job_json.h
+++ b/owner/job_json.h
@@ -22,7 +22,4 @@
 /** The JSON body for @p answer as specified by the HTTP contract. */
 std::string renderAnswer(const wire::JobAnswer &answer);
 
-/** The JSON body for an error that is not the outcome of a job. */
-std::string renderError(const Error &error);
-
 } // namespace marjoramferry
--- a/request/job_owner.cpp
+++ b/owner/job_owner.cpp
@@ -1,4 +1,4 @@
-#include "request/job_owner.h"
+#include "owner/job_owner.h"
 
 #include "core/shard.h"
 
--- a/request/job_owner.h
+++ b/owner/job_owner.h
@@ -1,14 +1,14 @@
 #pragma once
 
-#include "request/admission.h"
-#include "request/agent_directory.h"
-#include "request/answer_cache.h"
-#include "request/claim_log.h"
-#include "request/dispatcher.h"
-#include "request/entry_command.h"
-#include "request/job_run.h"
-#include "request/run_time_model.h"
-#include "request/shard_recovery.h"
+#include "owner/admission.h"
+#include "owner/agent_directory.h"
+#include "owner/answer_cache.h"
+#include "owner/claim_log.h"
+#include "owner/dispatcher.h"
+#include "owner/entry_command.h"
+#include "owner/job_run.h"
+#include "owner/run_time_model.h"
+#include "owner/shard_recovery.h"
 #include "version/cluster_state_tracker.h"
 
 #include <absl/container/btree_map.h>
--- a/request/job_router.cpp
+++ b/owner/job_router.cpp
@@ -1,8 +1,8 @@
-#include "request/job_router.h"
+#include "owner/job_router.h"
 
 #include "core/shard.h"
-#include "request/admission.h"
-#include "request/job_json.h"
+#include "owner/admission.h"
+#include "owner/job_json.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/request/job_router.h
+++ b/owner/job_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "request/entry_command.h"
+#include "core/time.h"
+#include "owner/entry_command.h"
 #include "version/ownership_map.h"
 
 #include <cstdint>
--- a/request/job_run.h
+++ b/owner/job_run.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/entry_command.h"
+#include "owner/entry_command.h"
 
 #include <messages_types.h>
 
--- a/request/placement.cpp
+++ b/owner/placement.cpp
@@ -1,4 +1,4 @@
-#include "request/placement.h"
+#include "owner/placement.h"
 
 #include "core/error.h"
 
--- a/request/placement.h
+++ b/owner/placement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/agent_directory.h"
+#include "owner/agent_directory.h"
 
 #include <random>
 #include <string>
--- a/request/run_time_model.cpp
+++ b/owner/run_time_model.cpp
@@ -1,4 +1,4 @@
-#include "request/run_time_model.h"
+#include "owner/run_time_model.h"
 
 #include <algorithm>
 
--- a/request/shard_recovery.cpp
+++ b/owner/shard_recovery.cpp
@@ -1,4 +1,4 @@
-#include "request/shard_recovery.h"
+#include "owner/shard_recovery.h"
 
 #include "core/error.h"
 #include "version/json_fields.h"
--- a/request/shard_recovery.h
+++ b/owner/shard_recovery.h
@@ -2,9 +2,9 @@
 
 #include "core/table.h"
 #include "core/time.h"
-#include "request/agent_directory.h"
-#include "request/claim_log.h"
-#include "request/entry_command.h"
+#include "owner/agent_directory.h"
+#include "owner/claim_log.h"
+#include "owner/entry_command.h"
 #include "version/ownership_map.h"
 
 #include <absl/container/flat_hash_map.h>
--- a/process/agent_process.cpp
+++ b/process/agent_process.cpp
@@ -2,8 +2,8 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "event/error_json.h"
 #include "process/logging.h"
-#include "request/job_json.h"
 #include "version/json_fields.h"
 
 #include <limits>
--- a/process/agent_process.h
+++ b/process/agent_process.h
@@ -5,9 +5,9 @@
 #include "connection/http_server.h"
 #include "connection/link_loop.h"
 #include "core/bounded_queue.h"
+#include "owner/agent_core.h"
 #include "process/metrics.h"
 #include "process/settings.h"
-#include "request/agent_core.h"
 
 #include <optional>
 
--- a/process/entry_process.h
+++ b/process/entry_process.h
@@ -5,9 +5,9 @@
 #include "connection/link_loop.h"
 #include "connection/table_client.h"
 #include "core/bounded_queue.h"
+#include "owner/entry_core.h"
 #include "process/metrics.h"
 #include "process/settings.h"
-#include "request/entry_core.h"
 
 #include <memory>
 
--- a/process/logging.h
+++ b/process/logging.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "request/log_event.h"
+#include "event/log_event.h"
 
 #include <string>
 
--- a/process/metrics.h
+++ b/process/metrics.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "connection/link_loop.h"
-#include "request/log_event.h"
+#include "event/log_event.h"
 
 #include <memory>
 #include <string>
--- a/process/settings.h
+++ b/process/settings.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/agent_core.h"
-#include "request/entry_core.h"
+#include "owner/agent_core.h"
+#include "owner/entry_core.h"
 #include "request/work_agent.h"
 #include "request/work_entry.h"
 
--- a/programs/command_line_tool.cpp
+++ b/programs/command_line_tool.cpp
@@ -2,7 +2,7 @@
 
 #include "connection/http_client.h"
 #include "core/error.h"
-#include "request/job_json.h"
+#include "owner/job_json.h"
 #include "version/json_fields.h"
 #include "version/release_note.h"
 
--- a/request/crash_containment.h
+++ b/request/crash_containment.h
@@ -2,9 +2,9 @@
 
 #include "core/time.h"
 #include "request/crash_tracker.h"
-#include "request/entry_command.h"
 #include "request/operator_state_cache.h"
 #include "request/queue_isolation.h"
+#include "request/work_command.h"
 #include "request/worker_directory.h"
 
 #include <functional>
@@ -68,7 +68,7 @@
         --activeProbes_;
     }
 
-    std::vector<EntryCommand> takeCommands()
+    std::vector<WorkCommand> takeCommands()
     {
         return out_.take();
     }
@@ -81,7 +81,7 @@
     CrashTracker crashes_;
     std::map<std::string, QueueIsolation> isolations_; ///< By service.
     int activeProbes_ = 0;
-    EntryOutbox out_;
+    WorkOutbox out_;
 };
 
 } // namespace marjoramferry
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/time.h"
+#include "event/link_event.h"
+#include "event/log_event.h"
+#include "event/process_event.h"
 #include "request/crash_log.h"
-#include "request/entry_command.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
 #include "request/worker_supervisor.h"
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -58,13 +58,12 @@
 {
     scheduler_.schedule(operatorState_, now);
     directory_.sendBatches(operatorState_, isStoreStale(now), drainingSince_.has_value(), now);
-    const auto append = [this](std::vector<EntryCommand> commands) {
-        for (EntryCommand &command : commands) {
+    const auto append = [this](std::vector<WorkCommand> commands) {
+        for (WorkCommand &command : commands) {
             std::visit(Overloaded{
                            [this](SendToLink &each) { out_.emplace_back(std::move(each)); },
                            [this](LogEvent &each) { out_.emplace_back(std::move(each)); },
                            [this](Observation &each) { out_.emplace_back(std::move(each)); },
-                           [](auto &) {},
                        },
                        command);
         }
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/entry_command.h"
-#include "request/entry_core.h"
+#include "event/link_event.h"
+#include "event/log_event.h"
+#include "event/process_event.h"
 #include "request/operator_state_cache.h"
 #include "request/work_scheduler.h"
 #include "request/work_types.h"
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -517,9 +517,9 @@
     runTimes_.removeWorker(worker);
 }
 
-std::vector<EntryCommand> WorkScheduler::takeCommands()
+std::vector<WorkCommand> WorkScheduler::takeCommands()
 {
-    std::vector<EntryCommand> commands = containment_.takeCommands();
+    std::vector<WorkCommand> commands = containment_.takeCommands();
     std::ranges::move(out_.take(), std::back_inserter(commands));
     return commands;
 }
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -4,6 +4,7 @@
 #include "request/crash_containment.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
+#include "request/work_command.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
 #include "request/worker_health.h"
@@ -92,7 +93,7 @@
         return jobs_.empty();
     }
 
-    std::vector<EntryCommand> takeCommands();
+    std::vector<WorkCommand> takeCommands();
 
     std::vector<CallResponse> takeResponses()
     {
@@ -205,7 +206,7 @@
     MonotonicTime drainMeasuredAt_;
     bool wasBacklogged_ = false; ///< Whether jobs have waited without a break since drainMeasuredAt_.
     MonotonicTime lastCheckAt_;
-    EntryOutbox out_;
+    WorkOutbox out_;
     std::vector<CallResponse> responses_;
 };
 
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include "core/time.h"
+#include "event/link_event.h"
 #include "request/demand.h"
-#include "request/entry_command.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
+#include "request/work_command.h"
 #include "request/worker_subset.h"
 
 #include <functional>
@@ -147,7 +148,7 @@
         return views_;
     }
 
-    std::vector<EntryCommand> takeCommands()
+    std::vector<WorkCommand> takeCommands()
     {
         return out_.take();
     }
@@ -183,7 +184,7 @@
     MonotonicTime standbyCheckedAt_;
     int64_t lastSession_ = 0;
     std::vector<std::string> entries_; ///< Addresses of entries, in the order in which they were added.
-    EntryOutbox out_;
+    WorkOutbox out_;
 };
 
 } // namespace marjoramferry
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/time.h"
+#include "event/log_event.h"
 #include "request/crash_log.h"
-#include "request/log_event.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
 
--- a/standins/endpoint_standin.cpp
+++ b/standins/endpoint_standin.cpp
@@ -2,7 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
-#include "request/job_json.h"
+#include "event/error_json.h"
 #include "version/json_fields.h"
 
 #include <thread>
--- a/standins/table_standin.cpp
+++ b/standins/table_standin.cpp
@@ -1,7 +1,7 @@
 #include "standins/table_standin.h"
 
 #include "core/error.h"
-#include "request/job_json.h"
+#include "event/error_json.h"
 #include "version/json_fields.h"
 
 namespace marjoramferry {
--- a/standins/timer_queue.h
+++ b/standins/timer_queue.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/time.h"
-#include "request/entry_command.h"
 
 #include <absl/synchronization/mutex.h>
 
--- a/tests/request/agent_core_test.cpp
+++ b/tests/owner/agent_core_test.cpp
@@ -1,4 +1,4 @@
-#include "request/agent_core.h"
+#include "owner/agent_core.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/request/agent_row_test.cpp
+++ b/tests/owner/agent_row_test.cpp
@@ -1,5 +1,5 @@
 #include "core/error.h"
-#include "request/shard_recovery.h"
+#include "owner/shard_recovery.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/request/answer_cache_test.cpp
+++ b/tests/owner/answer_cache_test.cpp
@@ -1,4 +1,4 @@
-#include "request/answer_cache.h"
+#include "owner/answer_cache.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/request/claim_log_test.cpp
+++ b/tests/owner/claim_log_test.cpp
@@ -1,4 +1,4 @@
-#include "request/claim_log.h"
+#include "owner/claim_log.h"
 #include "standins/table_model.h"
 
 #include <catch2/catch.hpp>
--- a/tests/request/job_json_test.cpp
+++ b/tests/owner/job_json_test.cpp
@@ -1,4 +1,4 @@
-#include "request/job_json.h"
+#include "owner/job_json.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
--- a/tests/request/start_registry_test.cpp
+++ b/tests/owner/start_registry_test.cpp
@@ -1,4 +1,4 @@
-#include "request/start_registry.h"
+#include "owner/start_registry.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/platform/parser_fuzz_test.cpp
+++ b/tests/platform/parser_fuzz_test.cpp
@@ -1,10 +1,10 @@
 #include "core/error.h"
+#include "owner/job_json.h"
 #include "platform/job_api.h"
 #include "platform/operator_rows.h"
 #include "platform/store_client.h"
 #include "platform/worker_client.h"
 #include "platform/worker_notification.h"
-#include "request/job_json.h"
 #include "version/release_note.h"
 
 #include <catch2/catch.hpp>
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -30,7 +30,7 @@
 {
     directory.updateActivity(OperatorStateCache(), now);
     directory.sendBatches(OperatorStateCache(), false, false, now);
-    for (EntryCommand &command : directory.takeCommands()) {
+    for (WorkCommand &command : directory.takeCommands()) {
         if (const auto *message = std::get_if<SendToLink>(&command)) {
             return std::get<wire::EntryBatch>(message->message);
         }
@@ -92,7 +92,7 @@
         directory.updateActivity(OperatorStateCache(), now);
         directory.sendBatches(OperatorStateCache(), false, false, now);
         std::map<std::string, wire::EntryBatch> sent;
-        for (EntryCommand &command : directory.takeCommands()) {
+        for (WorkCommand &command : directory.takeCommands()) {
             if (const auto *message = std::get_if<SendToLink>(&command)) {
                 sent[std::string(1, static_cast<char>(message->link))] = std::get<wire::EntryBatch>(message->message);
             }
@@ -225,7 +225,7 @@
     const auto statesSent = [&](MonotonicTime now) {
         fixture.directory.sendBatches(cache, false, false, now);
         std::string agents;
-        for (EntryCommand &command : fixture.directory.takeCommands()) {
+        for (WorkCommand &command : fixture.directory.takeCommands()) {
             if (const auto *message = std::get_if<SendToLink>(&command)) {
                 const auto &batch = std::get<wire::EntryBatch>(message->message);
                 agents += batch.__isset.operatorState ? std::string(1, static_cast<char>(message->link)) : "";
--- a/tests/support/scheduler_fixture.h
+++ b/tests/support/scheduler_fixture.h
@@ -111,7 +111,7 @@
     /** Whether an overdue run was logged since the last call. */
     bool hasLoggedOverdueRun()
     {
-        return std::ranges::any_of(scheduler.takeCommands(), [](const EntryCommand &each) {
+        return std::ranges::any_of(scheduler.takeCommands(), [](const WorkCommand &each) {
             const auto *logEvent = std::get_if<LogEvent>(&each);
             return logEvent != nullptr && logEvent->event == "run_overdue";
         });
--- a/tests/support/virtual_system.h
+++ b/tests/support/virtual_system.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "request/agent_core.h"
-#include "request/entry_core.h"
+#include "owner/agent_core.h"
+#include "owner/entry_core.h"
 #include "standins/table_model.h"
 #include "tests/support/history.h"
 
