--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -5,6 +5,7 @@
 #include "request/interrupted_jobs.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
+#include "request/work_command.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
 #include "request/worker_health.h"
@@ -93,7 +94,7 @@
         return jobs_.empty();
     }
 
-    std::vector<EntryCommand> takeCommands();
+    std::vector<WorkCommand> takeCommands();
 
     std::vector<CallResponse> takeResponses()
     {
@@ -209,7 +210,7 @@
     MonotonicTime drainMeasuredAt_;
     bool wasBacklogged_ = false; ///< Whether jobs have waited without a break since drainMeasuredAt_.
     MonotonicTime lastCheckAt_;
-    EntryOutbox out_;
+    WorkOutbox out_;
     std::vector<CallResponse> responses_;
 };
 
