--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds and runs the test programs, then the tests with real processes. Tests listed in KNOWN-RED.txt
-# are skipped here; scripts/known_red.sh runs them.
+# Builds and runs the test programs, then the tests of scripts and those with real processes. Tests listed
+# in KNOWN-RED.txt are skipped here; scripts/known_red.sh runs them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh release | tail -n 1
@@ -21,7 +21,7 @@
     scripts/run_catch.sh "build/release/tests/$program" "${exclusions[@]}" || status=$?
     report "$program" "$status"
 done
-for script in tests/processes/*_test.sh; do
+for script in tests/scripts/*_test.sh tests/processes/*_test.sh; do
     grep -q "^test: $script" KNOWN-RED.txt && continue
     status=0
     "$script" || status=$?
