HttpClient: every call gets its callback, and call() never blocks; errors of epoll in HttpServer count

Cause: a client that ended dropped its queued and active calls without their callback. The queue of calls had a limit and push() waited for room, which only the I/O thread makes, so a callback that called waited for itself. HttpServer ignored a failed epoll_ctl, and a failed epoll_create1 left a thread on an invalid descriptor and aborted at the end. Change: stop() ends all calls with their callback, uncertain if sent, else not sent; later calls are reported at once. The queue has no limit: the I/O thread starts all of it anyway. The processes stop their client first when they end, because the callbacks use members that are destroyed before it; answers that arrived then met destroyed members. A connection that can't be watched is answered and logged; a server that can't create its watch doesn't start.

--- a/connection/http_client.cpp
+++ b/connection/http_client.cpp
@@ -1,11 +1,11 @@
 #include "connection/http_client.h"
 
-#include "core/bounded_queue.h"
 #include "core/clock.h"
 
+#include <absl/synchronization/mutex.h>
 #include <curl/curl.h>
 
-#include <atomic>
+#include <algorithm>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr size_t MaxQueuedCalls = 1U << 16U;
 constexpr int PollTimeoutMs = 1000;
 constexpr long MaxIdleConnectionSeconds = 20; ///< Older idle connections are not reused.
 constexpr size_t MaxResponseBytes = 64U << 20U;
@@ -66,6 +65,15 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/** Reports a call that its client does not continue, because it stops. */
+void endTransfer(const Transfer &transfer)
+{
+    HttpResult result;
+    result.outcome = transfer.sendCount == 0 ? HttpOutcome::NotSent : HttpOutcome::Uncertain;
+    result.errorMessage = "the HTTP client has stopped";
+    transfer.callback(std::move(result));
+}
+
 } // namespace
 
 class HttpClient::Impl
@@ -75,19 +83,30 @@
     ~Impl();
 
     void call(HttpCall call, Callback callback);
+    void stop();
 
 private:
+    /** Calls that are accepted but not started, in order. */
+    using Queue = std::vector<std::unique_ptr<Transfer>>;
+
     void run();
+    bool tryEnqueue(std::unique_ptr<Transfer> &transfer);
+    Queue takeQueue();
+    bool isStopping();
     void startQueuedTransfers();
     void completeTransfers();
+    void endTransfers();
     CURL *prepareHandle(Transfer &transfer);
 
     CURLM *multi_;
     curl_slist *headers_;
-    BoundedQueue<std::unique_ptr<Transfer>> queue_{MaxQueuedCalls};
+    absl::Mutex mutex_;
+    /** Has no limit: the I/O thread starts all calls in it at once, and must not wait for itself when it adds one. */
+    Queue queue_ ABSL_GUARDED_BY(mutex_);
+    bool isStopping_ ABSL_GUARDED_BY(mutex_) = false;
+    bool isStopped_ ABSL_GUARDED_BY(mutex_) = false; ///< The I/O thread takes no more calls from the queue.
     std::unordered_map<CURL *, std::unique_ptr<Transfer>> activeTransfers_;
     std::vector<CURL *> idleHandles_;
-    std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
 
@@ -104,13 +123,7 @@
 
 HttpClient::Impl::~Impl()
 {
-    stopping_ = true;
-    curl_multi_wakeup(multi_);
-    thread_.join();
-    for (const auto &[handle, transfer] : activeTransfers_) {
-        curl_multi_remove_handle(multi_, handle);
-        curl_easy_cleanup(handle);
-    }
+    stop();
     for (CURL *handle : idleHandles_) {
         curl_easy_cleanup(handle);
     }
@@ -123,30 +136,87 @@
     auto transfer = std::make_unique<Transfer>();
     transfer->call = std::move(call);
     transfer->callback = std::move(callback);
-    queue_.push(std::move(transfer));
+    if (tryEnqueue(transfer)) {
+        curl_multi_wakeup(multi_);
+    } else {
+        endTransfer(*transfer);
+    }
+}
+
+/** Takes @p transfer, unless the client has stopped. */
+bool HttpClient::Impl::tryEnqueue(std::unique_ptr<Transfer> &transfer)
+{
+    absl::MutexLock lock(&mutex_);
+    if (isStopped_) {
+        return false;
+    }
+    queue_.push_back(std::move(transfer));
+    return true;
+}
+
+void HttpClient::Impl::stop()
+{
+    if (!thread_.joinable()) {
+        return;
+    }
+    {
+        absl::MutexLock lock(&mutex_);
+        isStopping_ = true;
+    }
     curl_multi_wakeup(multi_);
+    thread_.join();
+}
+
+HttpClient::Impl::Queue HttpClient::Impl::takeQueue()
+{
+    absl::MutexLock lock(&mutex_);
+    return std::exchange(queue_, {});
+}
+
+bool HttpClient::Impl::isStopping()
+{
+    absl::MutexLock lock(&mutex_);
+    return isStopping_;
 }
 
 void HttpClient::Impl::run()
 {
-    while (!stopping_) {
+    while (!isStopping()) {
         startQueuedTransfers();
         int runningCount = 0;
         curl_multi_perform(multi_, &runningCount);
         completeTransfers();
         curl_multi_poll(multi_, nullptr, 0, PollTimeoutMs, nullptr);
     }
+    endTransfers();
 }
 
 void HttpClient::Impl::startQueuedTransfers()
 {
-    for (std::unique_ptr<Transfer> &transfer : queue_.popAll(Microseconds(0))) {
+    for (std::unique_ptr<Transfer> &transfer : takeQueue()) {
         CURL *handle = prepareHandle(*transfer);
         activeTransfers_[handle] = std::move(transfer);
         curl_multi_add_handle(multi_, handle);
     }
 }
 
+void HttpClient::Impl::endTransfers()
+{
+    for (const auto &[handle, transfer] : activeTransfers_) {
+        curl_multi_remove_handle(multi_, handle);
+        idleHandles_.push_back(handle);
+        endTransfer(*transfer);
+    }
+    activeTransfers_.clear();
+    bool isQueueEmpty = false;
+    while (!isQueueEmpty) {
+        std::ranges::for_each(takeQueue(), [](const auto &transfer) { endTransfer(*transfer); });
+        absl::MutexLock lock(&mutex_);
+        isQueueEmpty = queue_.empty();
+        isStopped_ = isQueueEmpty;
+    }
+}
+
 CURL *HttpClient::Impl::prepareHandle(Transfer &transfer)
 {
     CURL *handle = idleHandles_.empty() ? curl_easy_init() : idleHandles_.back();
@@ -216,6 +286,11 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::stop()
+{
+    impl_->stop();
+}
+
 void HttpClient::call(HttpCall call, Callback callback)
 {
     impl_->call(std::move(call), std::move(callback));
--- a/connection/http_client.h
+++ b/connection/http_client.h
@@ -49,13 +49,20 @@
     using Callback = std::function<void(HttpResult)>;
 
     explicit HttpClient(long connectionsPerHost);
-    ~HttpClient();
+    ~HttpClient(); ///< Stops the client.
 
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
+    /** Never blocks. After stop(), calls the callback at once, on this thread. */
     void call(HttpCall call, Callback callback);
 
+    /**
+     * Ends all calls, each with its callback, and the I/O thread. Must not be called by a callback. Callbacks can make
+     * further calls, which are not sent, but must not do so without end.
+     */
+    void stop();
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -9,6 +9,7 @@
 #include <absl/synchronization/mutex.h>
 #include <event2/util.h>
 #include <microhttpd.h>
+#include <spdlog/spdlog.h>
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -115,6 +116,15 @@
         throw Error(
             ErrorKind::Settings, options_.listenAddress, "is not a valid address", "use an IP address and a port");
     }
+    if (options_.onClientDisconnected) {
+        disconnectEpoll_ = epoll_create1(EPOLL_CLOEXEC);
+        if (disconnectEpoll_ < 0) {
+            throw Error(ErrorKind::Unavailable,
+                        options_.listenAddress,
+                        absl::StrCat("can't watch for disconnects: ", std::strerror(errno)),
+                        "raise the limit of open files");
+        }
+    }
     constexpr unsigned Flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
     daemon_ = MHD_start_daemon(Flags,
                                0,
@@ -137,13 +147,16 @@
                                1U,
                                MHD_OPTION_END);
     if (daemon_ == nullptr) {
+        const int error = errno;
+        if (disconnectEpoll_ >= 0) {
+            close(disconnectEpoll_);
+        }
         throw Error(ErrorKind::Unavailable,
                     options_.listenAddress,
-                    std::strerror(errno),
+                    std::strerror(error),
                     "free the port or configure another one");
     }
-    if (options_.onClientDisconnected) {
-        disconnectEpoll_ = epoll_create1(EPOLL_CLOEXEC);
+    if (disconnectEpoll_ >= 0) {
         disconnectThread_ = std::thread([this] { reportDisconnects(); });
     }
 }
@@ -158,8 +171,12 @@
     epoll_event event{};
     event.events = EPOLLRDHUP | EPOLLONESHOT;
     event.data.u64 = token;
-    if (epoll_ctl(disconnectEpoll_, EPOLL_CTL_ADD, info->connect_fd, &event) != 0 && errno == EEXIST) {
-        epoll_ctl(disconnectEpoll_, EPOLL_CTL_MOD, info->connect_fd, &event);
+    int result = epoll_ctl(disconnectEpoll_, EPOLL_CTL_ADD, info->connect_fd, &event);
+    if (result != 0 && errno == EEXIST) {
+        result = epoll_ctl(disconnectEpoll_, EPOLL_CTL_MOD, info->connect_fd, &event);
+    }
+    if (result != 0) {
+        spdlog::warn("event=disconnect_watch_failed reason=\"{}\"", std::strerror(errno));
     }
 }
 
--- a/process/agent_process.cpp
+++ b/process/agent_process.cpp
@@ -76,6 +76,13 @@
 {
 }
 
+AgentProcess::~AgentProcess()
+{
+    // The callbacks of the calls that end here use other members, and must find space in the queue.
+    events_.popAll(Microseconds(0));
+    endpointHttpClient_.stop();
+}
+
 void AgentProcess::run()
 {
     links_.start();
--- a/process/agent_process.h
+++ b/process/agent_process.h
@@ -23,6 +23,10 @@
 public:
     /** Throws Settings if an address can't be parsed and Unavailable if it can't be bound. */
     explicit AgentProcess(const AgentSettings &settings);
+    ~AgentProcess();
+
+    AgentProcess(const AgentProcess &) = delete;
+    AgentProcess &operator=(const AgentProcess &) = delete;
 
     /** Runs until the core requests a stop. */
     void run();
--- a/process/entry_process.cpp
+++ b/process/entry_process.cpp
@@ -55,6 +55,13 @@
 {
 }
 
+EntryProcess::~EntryProcess()
+{
+    // The callbacks of the calls that end here use other members, and must find space in the queue.
+    events_.popAll(Microseconds(0));
+    tableHttpClient_.stop();
+}
+
 void EntryProcess::run()
 {
     links_.start();
--- a/process/entry_process.h
+++ b/process/entry_process.h
@@ -23,6 +23,10 @@
 public:
     /** Throws Settings if an address can't be parsed and Unavailable if it can't be bound. */
     explicit EntryProcess(const EntrySettings &settings);
+    ~EntryProcess();
+
+    EntryProcess(const EntryProcess &) = delete;
+    EntryProcess &operator=(const EntryProcess &) = delete;
 
     /** Runs until the core requests a stop. */
     void run();
--- a/process/work_agent_process.cpp
+++ b/process/work_agent_process.cpp
@@ -85,6 +85,13 @@
                       parsed);
 }
 
+WorkAgentProcess::~WorkAgentProcess()
+{
+    // The callbacks of the calls that end here use other members, and must find space in the queue.
+    events_.popAll(Microseconds(0));
+    httpClient_.stop();
+}
+
 void WorkAgentProcess::run()
 {
     links_.start();
--- a/process/work_agent_process.h
+++ b/process/work_agent_process.h
@@ -25,6 +25,10 @@
 public:
     /** Throws Settings if an address can't be parsed and Unavailable if it can't be bound. */
     explicit WorkAgentProcess(const WorkAgentSettings &settings);
+    ~WorkAgentProcess();
+
+    WorkAgentProcess(const WorkAgentProcess &) = delete;
+    WorkAgentProcess &operator=(const WorkAgentProcess &) = delete;
 
     /** Runs until the core requests a stop. */
     void run();
--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -109,6 +109,13 @@
     return HttpResponse{request.token, isReady ? StatusOk : StatusUnavailable, "{}"};
 }
 
+WorkEntryProcess::~WorkEntryProcess()
+{
+    // The callbacks of the calls that end here use other members, and must find space in the queue.
+    events_.popAll(Microseconds(0));
+    storeHttpClient_.stop();
+}
+
 void WorkEntryProcess::run()
 {
     links_.start();
--- a/process/work_entry_process.h
+++ b/process/work_entry_process.h
@@ -26,6 +26,10 @@
 public:
     /** Throws Settings if an address can't be parsed and Unavailable if it can't be bound. */
     explicit WorkEntryProcess(const WorkEntrySettings &settings);
+    ~WorkEntryProcess();
+
+    WorkEntryProcess(const WorkEntryProcess &) = delete;
+    WorkEntryProcess &operator=(const WorkEntryProcess &) = delete;
 
     /** Runs until the core requests a stop. */
     void run();
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -6,10 +6,16 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace marjoramferry;
 
@@ -79,6 +85,49 @@
     std::thread thread_;
 };
 
+/** Accepts one connection and answers none of its requests. */
+class SilentServer
+{
+public:
+    SilentServer()
+        : listener_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        REQUIRE(bind(listener_, reinterpret_cast<sockaddr *>(&address), length) == 0);
+        listen(listener_, 8);
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+        port_ = ntohs(address.sin_port);
+    }
+
+    ~SilentServer()
+    {
+        if (connection_ >= 0) {
+            close(connection_);
+        }
+        close(listener_);
+    }
+
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(port_) + "/run";
+    }
+
+    void waitForRequest()
+    {
+        connection_ = accept(listener_, nullptr, nullptr);
+        char buffer[4096];
+        REQUIRE(recv(connection_, buffer, sizeof(buffer), 0) > 0);
+    }
+
+private:
+    int listener_;
+    int connection_ = -1;
+    int port_ = 0;
+};
+
 HttpResult callAndWait(HttpClient &client, HttpCall call)
 {
     std::promise<HttpResult> promise;
@@ -118,3 +167,73 @@
     call.url = "http://127.0.0.1:1/run";
     CHECK(callAndWait(client, call).outcome == HttpOutcome::NotSent);
 }
+
+// Guards against callers that wait forever: an owner keeps a call's slot or state until its callback.
+TEST_CASE("Calls that are unanswered when their client stops get their callback")
+{
+    SilentServer server;
+    std::vector<HttpResult> results;
+    {
+        HttpClient client(1);
+        HttpCall call;
+        call.url = server.url();
+        call.timeout = Milliseconds(60'000);
+        client.call(call, [&](HttpResult result) { results.push_back(std::move(result)); });
+        server.waitForRequest();
+        client.call(call, [&](HttpResult result) { results.push_back(std::move(result)); });
+        client.call(call, [&](HttpResult result) { results.push_back(std::move(result)); });
+    }
+    REQUIRE(results.size() == 3);
+    CHECK(std::ranges::count(results, HttpOutcome::Uncertain, &HttpResult::outcome) == 1);
+    CHECK(std::ranges::count(results, HttpOutcome::NotSent, &HttpResult::outcome) == 2);
+    CHECK(std::ranges::none_of(results, &std::string::empty, &HttpResult::errorMessage));
+}
+
+// Guards against a lost callback of a call that a callback makes while the client stops, or that is made later.
+TEST_CASE("Calls that are made while or after their client stops are reported as not sent")
+{
+    SilentServer server;
+    HttpClient client(1);
+    HttpCall call;
+    call.url = server.url();
+    call.timeout = Milliseconds(60'000);
+    std::vector<HttpOutcome> outcomes;
+    const auto record = [&](const HttpResult &result) { outcomes.push_back(result.outcome); };
+    client.call(call, [&](const HttpResult &result) {
+        record(result);
+        client.call(call, record);
+    });
+    server.waitForRequest();
+    client.stop();
+    client.call(call, record);
+    CHECK(outcomes == std::vector{HttpOutcome::Uncertain, HttpOutcome::NotSent, HttpOutcome::NotSent});
+}
+
+// Guards against an I/O thread that waits for itself: only it makes room in a full queue of calls.
+TEST_CASE("A callback can make any number of calls without blocking")
+{
+    constexpr int CallCount = 70'000;
+    constexpr std::chrono::seconds LongestWait(20);
+    SilentServer server;
+    auto client = std::make_unique<HttpClient>(1);
+    HttpCall call;
+    call.url = server.url();
+    call.timeout = Milliseconds(60'000);
+    std::atomic<int> callbackCount{0};
+    std::promise<void> finished;
+    HttpCall first;
+    first.url = "http://127.0.0.1:1/run";
+    client->call(first, [&](const HttpResult &) {
+        for (int i = 0; i < CallCount; ++i) {
+            client->call(call, [&](const HttpResult &) { ++callbackCount; });
+        }
+        finished.set_value();
+    });
+    if (finished.get_future().wait_for(LongestWait) != std::future_status::ready) {
+        // A client whose thread is blocked can't be destroyed, and what its callbacks use must stay as well.
+        std::fputs("a call from a callback blocks\n", stderr);
+        std::_Exit(EXIT_FAILURE);
+    }
+    client.reset();
+    CHECK(callbackCount == CallCount);
+}
--- /dev/null
+++ b/tests/connection/http_server_test.cpp
@@ -0,0 +1,150 @@
+#include "connection/http_server.h"
+
+#include "connection/http_client.h"
+#include "core/error.h"
+
+#include <catch2/catch.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <sys/epoll.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cerrno>
+#include <future>
+#include <memory>
+#include <sstream>
+#include <string>
+
+using namespace marjoramferry;
+
+namespace {
+
+std::atomic<int> epollCreations{0};
+std::atomic<int> failingEpollCreation{0}; ///< Counted from 1; 0 for none.
+std::atomic<bool> failsDisconnectWatch{false};
+
+} // namespace
+
+// These two replace the functions of the C library in this program, to let single calls fail as at the system's limits.
+extern "C" int epoll_create1(int flags) noexcept
+{
+    if (++epollCreations == failingEpollCreation) {
+        errno = EMFILE;
+        return -1;
+    }
+    return static_cast<int>(syscall(SYS_epoll_create1, flags));
+}
+
+extern "C" int epoll_ctl(int epoll, int operation, int descriptor, epoll_event *event) noexcept
+{
+    // Only the watch for disconnects uses these flags together.
+    if (failsDisconnectWatch && event != nullptr && event->events == (EPOLLRDHUP | EPOLLONESHOT)) {
+        errno = ENOSPC;
+        return -1;
+    }
+    return static_cast<int>(syscall(SYS_epoll_ctl, epoll, operation, descriptor, event));
+}
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr const char *Address = "127.0.0.1:17681";
+
+/** Sets a flag for the lifetime of the object. */
+class ScopedFlag
+{
+public:
+    explicit ScopedFlag(std::atomic<bool> &flag)
+        : flag_(flag)
+    {
+        flag_ = true;
+    }
+
+    ~ScopedFlag()
+    {
+        flag_ = false;
+    }
+
+private:
+    std::atomic<bool> &flag_;
+};
+
+/** Collects the lines of the default logger for the lifetime of the object. */
+class ScopedLog
+{
+public:
+    ScopedLog()
+        : previous_(spdlog::default_logger())
+    {
+        spdlog::set_default_logger(
+            std::make_shared<spdlog::logger>("test", std::make_shared<spdlog::sinks::ostream_sink_mt>(stream_)));
+    }
+
+    ~ScopedLog()
+    {
+        spdlog::set_default_logger(previous_);
+    }
+
+    std::string text() const
+    {
+        return stream_.str();
+    }
+
+private:
+    std::ostringstream stream_;
+    std::shared_ptr<spdlog::logger> previous_;
+};
+
+HttpServerOptions makeOptions()
+{
+    HttpServerOptions options;
+    options.listenAddress = Address;
+    options.onClientDisconnected = [](uint64_t) {};
+    return options;
+}
+
+} // namespace
+
+// Guards against work for callers that have gone, without a sign of it: their disconnects can't be seen.
+TEST_CASE("A request whose disconnect can't be watched is answered, and the error is logged")
+{
+    const ScopedLog log;
+    const ScopedFlag failure(failsDisconnectWatch);
+    std::promise<uint64_t> token;
+    HttpServer server(
+        makeOptions(),
+        [&](const HttpRequest &request) {
+            token.set_value(request.token);
+            return true;
+        },
+        [](const HttpRequest &) { return std::nullopt; });
+    HttpClient client(1);
+    HttpCall call;
+    call.url = std::string("http://") + Address + "/";
+    std::promise<HttpResult> result;
+    client.call(call, [&](HttpResult answer) { result.set_value(std::move(answer)); });
+    server.reply(HttpResponse{token.get_future().get(), StatusOk, "{}"});
+    CHECK(result.get_future().get().status == StatusOk);
+    CHECK_THAT(log.text(), Catch::Contains("event=disconnect_watch_failed reason=\"No space left on device\""));
+}
+
+// Guards against a server that starts and then spins on an invalid descriptor, and that crashes when it stops.
+TEST_CASE("A server that can't watch for disconnects doesn't start")
+{
+    const auto start = [] {
+        const HttpServer server(
+            makeOptions(), [](const HttpRequest &) { return false; }, [](const HttpRequest &) { return std::nullopt; });
+    };
+    start();
+    const int creations = epollCreations;
+    REQUIRE(creations > 0);
+    for (int failing = 1; failing <= creations; ++failing) {
+        epollCreations = 0;
+        failingEpollCreation = failing;
+        CHECK_THROWS_AS(start(), Error);
+    }
+    failingEpollCreation = 0;
+}
