Do not blame tasks for workers that crash at the same moment

Callers saw: state failed for jobs under two mass crashes, such as two losses of a rack: each crashed worker had its own likely cause. Change: crashes of several workers within 20 ms have a common cause; none of their tasks counts as one.

--- a/request/crash_tracker.cpp
+++ b/request/crash_tracker.cpp
@@ -12,6 +12,9 @@
 /** A task that crashes its worker is taken to do so within this time of its start. */
 constexpr Milliseconds MaxTimeToCrash{100};
 
+/** Workers that crash within this time of each other are taken to have a common cause, which is no task. */
+constexpr Milliseconds SimultaneousTime{20};
+
 /** The jobs that started last on the worker, so shortly before the crash that they may have caused it. */
 std::set<std::string> findLikelyCauses(const wire::WorkerCrash &crash)
 {
@@ -40,7 +43,8 @@
         return false;
     }
     Crash recorded{process, now - Milliseconds(crash.agoMs), {}};
-    const std::set<std::string> likelyCauses = findLikelyCauses(crash);
+    const bool isSimultaneous = clearSimultaneousCauses(recorded.at);
+    const std::set<std::string> likelyCauses = isSimultaneous ? std::set<std::string>() : findLikelyCauses(crash);
     std::ranges::transform(crash.runs, std::back_inserter(recorded.tasks), [&](const wire::CrashedRun &run) {
         const bool isLikelyCause = likelyCauses.contains(run.jobId) && run.ageMs <= MaxTimeToCrash.count();
         return AffectedTask{RunKey{run.jobId, run.stepIndex, run.taskIndex, 0}, isLikelyCause};
@@ -67,6 +71,23 @@
     return highest;
 }
 
+/** Clears the likely causes of the crashes at this time; returns whether there were any such crashes. */
+bool CrashTracker::clearSimultaneousCauses(MonotonicTime at)
+{
+    bool isAny = false;
+    for (Crash &crash : crashes_) {
+        if (crash.at - at > SimultaneousTime || at - crash.at > SimultaneousTime) {
+            continue;
+        }
+        isAny = true;
+        for (AffectedTask &affected : crash.tasks) {
+            counts_.at(affected.task).likelyCaused -= affected.isLikelyCause ? 1 : 0;
+            affected.isLikelyCause = false;
+        }
+    }
+    return isAny;
+}
+
 void CrashTracker::addToCounts(const AffectedTask &affected, int change)
 {
     CrashCounts &counts = counts_[affected.task];
--- a/request/crash_tracker.h
+++ b/request/crash_tracker.h
@@ -52,6 +52,7 @@
         std::vector<AffectedTask> tasks;
     };
 
+    bool clearSimultaneousCauses(MonotonicTime at);
     void addToCounts(const AffectedTask &affected, int change);
     void forgetOldest();
 
