Report crashes with the runs whose start broke off, and with the time of the crash; resolve starts refused as old by a listing

Callers saw: nothing of these yet; found in review. Cause and change: - A task that crashes its worker before its start is answered was no part of the crash: an older run was blamed, and nothing bounded the starts of the task. Such runs are reported now, and are lost, not "not started", if the worker has restarted since. - The age of a run was taken when the crash was noticed, at the next poll 100 ms later, so a task that crashes its worker after 15 ms did not count as the cause. The crash is dated by the first call without an answer. - A second start refused as old was taken for a run that had ended; it may stem from an earlier submission. A listing under a higher fence decides now.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -154,16 +154,23 @@
     isReconciled_ = false;
 }
 
-/** Reports the confirmed runs as those under which the worker crashed. Draws no conclusion on when they end. */
+/**
+ * Reports the runs under which the worker crashed: those it confirmed, and those whose start broke off. Draws no
+ * conclusion on when they end.
+ */
 void WorkerSupervisor::reportCrash(const std::string &evidence, MonotonicTime now)
 {
     if (isCrashReported_ || worker_->leaving) {
         return;
     }
-    WorkerCrash crash{worker_->identity, now, {}};
+    // The crash is noticed only when a new connection is refused, or when the worker is back.
+    const MonotonicTime crashedAt = unansweredSince_.value_or(now);
+    WorkerCrash crash{worker_->identity, crashedAt, {}};
     for (const auto &[key, run] : runs_) {
-        if (run.isConfirmed) {
-            crash.runs.push_back(CrashedRun{key, run.request.queue, millisecondsBetween(run.confirmedAt, now)});
+        if (run.isConfirmed || run.unansweredAt) {
+            const MonotonicTime startedAt = run.isConfirmed ? run.confirmedAt : run.firstSentAt;
+            const int ageMs = std::max(0, millisecondsBetween(startedAt, crashedAt));
+            crash.runs.push_back(CrashedRun{key, run.request.queue, ageMs});
         }
     }
     if (crash.runs.empty()) {
@@ -276,6 +283,7 @@
          {"free_cpu_millis", absl::StrCat(worker_->capacity.cpuMillis - claimedDemand().cpuMillis)}});
     Run run;
     run.request = std::move(request);
+    run.firstSentAt = now;
     sendStart(runs_[key] = std::move(run), now);
 }
 
@@ -312,6 +320,11 @@
     if (reply.clockMs) {
         lease_.observeClock(*reply.clockMs, now);
     }
+    if (reply.outcome == CallOutcome::Accepted || reply.outcome == CallOutcome::Rejected) {
+        unansweredSince_.reset();
+    } else if (!unansweredSince_) {
+        unansweredSince_ = now;
+    }
     if (reply.isRefused && worker_) {
         reportCrash("connection_refused", now);
     }
@@ -346,6 +359,7 @@
         finishRun(key, wire::RunOutcome::NOT_STARTED, "not_sent", now);
         return;
     case CallOutcome::Unresolved:
+        run.unansweredAt = run.unansweredAt.value_or(now);
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
@@ -376,10 +390,6 @@
 void WorkerSupervisor::onStartRejected(Run &run, const WorkerReply &reply, MonotonicTime now)
 {
     const RunKey key = run.request.key;
-    if (run.startsSent > 1 && reply.rejection == Rejection::OldAttempt) {
-        confirmRun(run, now); // The first StartRun took effect and the run has ended; the next listing reports how.
-        return;
-    }
     if (run.startsSent > 1 && reply.rejection != Rejection::OtherIncarnation) {
         markUnresolved(run, now); // The rejection of the second StartRun does not show whether the first took effect.
         return;
@@ -507,13 +517,15 @@
         // A start with a fence below the one the worker has accepted can no longer take effect.
         const bool isFencedOff = run.fence < poll.fence;
         if (!run.isConfirmed && isFencedOff && run.phase != Phase::Starting) {
-            absent.emplace_back(key, wire::RunOutcome::NOT_STARTED);
+            // A process that has ended since may have executed a start that it did not answer.
+            const bool mayHaveRun = run.unansweredAt && *run.unansweredAt < restartDetectedAt_;
+            absent.emplace_back(key, mayHaveRun ? wire::RunOutcome::GONE : wire::RunOutcome::NOT_STARTED);
         } else if (run.isConfirmed && run.confirmedAt < poll.sentAt) {
             absent.emplace_back(key, wire::RunOutcome::GONE);
         }
     }
     for (const auto &[key, outcome] : absent) {
-        const bool wasBeforeRestart = runs_.at(key).confirmedAt < restartDetectedAt_;
+        const bool wasBeforeRestart = runs_.at(key).firstSentAt < restartDetectedAt_;
         const char *goneReason = wasBeforeRestart ? "worker_restarted" : "not_listed";
         finishRun(key, outcome, outcome == wire::RunOutcome::GONE ? goneReason : "fenced_off", now);
     }
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -131,6 +131,9 @@
         int64_t startCallId = 0;
         int64_t fence = 0; ///< Fence of the StartRun call.
         MonotonicTime sentAt;
+        MonotonicTime firstSentAt;
+        std::optional<MonotonicTime>
+            unansweredAt; ///< When a StartRun call of this attempt first ended without an answer.
         MonotonicTime confirmedAt; ///< When the worker confirmed the run; polls sent later must list it.
         bool isConfirmed = false;
         MonotonicTime stopSentAt;
@@ -182,6 +185,7 @@
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
     MonotonicTime lastAnnouncementAt_;
     MonotonicTime lastReplyAt_;
+    std::optional<MonotonicTime> unansweredSince_; ///< When the first call after the last answer ended without one.
     WorkerLease lease_;
     int64_t fence_;
     int64_t requiredFence_ = 0; ///< Once the worker accepts this fence, no older start can take effect.
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -351,3 +351,38 @@
     fixture.supervisor.handleAnnouncement(larger, Start + Milliseconds(30));
     CHECK(OutputByKind(fixture.supervisor.takeOutput()).starts.size() == 1);
 }
+
+// Guards against a start that was refused for an earlier run of the task, and is counted as a run that was lost.
+TEST_CASE("A second start refused as old, and neither listed as running nor as ended, is returned as not started")
+{
+    ReconciledSupervisor fixture;
+    fixture.supervisor.requestRun(runRequest("a", 1), Start);
+    const OutputByKind first(fixture.supervisor.takeOutput());
+    REQUIRE(first.starts.size() == 1);
+    fixture.supervisor.handleReply(unanswered(first.starts[0].callId), Start + Milliseconds(20));
+    const OutputByKind second(fixture.supervisor.takeOutput());
+    REQUIRE(second.starts.size() == 1);
+    fixture.supervisor.handleReply(rejected(second.starts[0].callId, Rejection::OldAttempt), Start + Milliseconds(22));
+    std::vector<PollRuns> polls = first.polls;
+    for (int ms = 30; ms <= 600; ms += 10) {
+        fixture.supervisor.tick(Start + Milliseconds(ms));
+        OutputByKind output(fixture.supervisor.takeOutput());
+        polls.insert(polls.end(), output.polls.begin(), output.polls.end());
+        for (const PollRuns &poll : std::exchange(polls, {})) {
+            fixture.supervisor.handleReply(listed(poll.callId, {}), Start + Milliseconds(ms));
+        }
+        OutputByKind after(fixture.supervisor.takeOutput());
+        polls = after.polls;
+        output.ends.insert(output.ends.end(), after.ends.begin(), after.ends.end());
+        if (!output.ends.empty()) {
+            CAPTURE(output.ends[0].reason);
+            CHECK(output.ends[0].outcome == wire::RunOutcome::NOT_STARTED);
+            return;
+        }
+        if (!after.starts.empty()) {
+            SUCCEED("started again with a higher attempt number");
+            return;
+        }
+    }
+    FAIL("the run has no end");
+}
