Tell submissions of a job apart, and remember every job that ran before it is refused

Callers saw: 503 ("not run") for a job that had been answered or cancelled and was sent again under overload, or that a stopping entry was running; a run of an earlier submission ended the tasks of the next one, and with other phases wrote outside of them and completed the job. Cause: ends of runs were matched by job id alone; only interrupted jobs were remembered; a stopping entry answered before it looked for the job. Change: runs and jobs carry the number of their submission; each job that ended here after an order is remembered for a minute; a stopping entry joins a job that it runs, and answers interrupted if an earlier submission may have run.

--- a/request/interrupted_jobs.cpp
+++ b/request/started_jobs.cpp
@@ -1,4 +1,4 @@
-#include "request/interrupted_jobs.h"
+#include "request/started_jobs.h"
 
 namespace marjoramferry {
 
@@ -10,20 +10,20 @@
 
 } // namespace
 
-void InterruptedJobs::add(const std::string &jobId, MonotonicTime now)
+void StartedJobs::add(const std::string &jobId, MonotonicTime now)
 {
     forgetOld(now);
     byTime_.emplace_back(now, jobId);
     ids_.insert(jobId);
 }
 
-bool InterruptedJobs::contains(const std::string &jobId, MonotonicTime now)
+bool StartedJobs::contains(const std::string &jobId, MonotonicTime now)
 {
     forgetOld(now);
     return ids_.contains(jobId);
 }
 
-void InterruptedJobs::forgetOld(MonotonicTime now)
+void StartedJobs::forgetOld(MonotonicTime now)
 {
     while (!byTime_.empty() && (byTime_.size() >= MaxJobs || now - byTime_.front().first > RetentionTime)) {
         ids_.erase(ids_.find(byTime_.front().second));
--- a/request/interrupted_jobs.h
+++ b/request/started_jobs.h
@@ -9,8 +9,8 @@
 
 namespace marjoramferry {
 
-/** Remembers for a while which jobs ended without a result after a task of theirs had been ordered. */
-class InterruptedJobs
+/** Remembers for a while which jobs have ended here after a task of theirs had been ordered. */
+class StartedJobs
 {
 public:
     void add(const std::string &jobId, MonotonicTime now);
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -105,8 +105,10 @@
         respond(call.address, ResponseStatus::Unsupported, call.job.unsupportedFeature);
         return;
     }
-    if (drainingSince_ && !canFinishBeforeShutdown(call.job, *destination->route, now)) {
-        respond(call.address, ResponseStatus::Rejected, "stopping");
+    const std::string &jobId = destination->jobId;
+    if (drainingSince_ && !scheduler_.hasJob(jobId) && !canFinishBeforeShutdown(call.job, *destination->route, now)) {
+        const bool mayHaveRun = scheduler_.mayHaveRunBefore(jobId, now);
+        respond(call.address, mayHaveRun ? ResponseStatus::Interrupted : ResponseStatus::Rejected, "stopping");
         return;
     }
     scheduler_.submit(call, *destination->route, destination->jobId, now);
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -78,6 +78,7 @@
     Job job;
     job.id = jobId;
     job.requestId = call.address.requestId;
+    job.submission = ++lastSubmission_;
     job.tokens = {call.address.token};
     job.route = route;
     job.spec = call.job.spec;
@@ -405,6 +406,7 @@
     order.patienceMs = static_cast<int>(options_.agentQueueTimeout.count());
     Run run;
     run.jobId = job.id;
+    run.submission = job.submission;
     run.step = stepIndex;
     run.task = taskIndex;
     run.agent = view.agent;
@@ -448,7 +450,7 @@
             continue;
         }
         const auto job = jobs_.find(run.jobId);
-        if (job == jobs_.end()) {
+        if (job == jobs_.end() || job->second.submission != run.submission) {
             continue;
         }
         Step &step = job->second.steps[static_cast<size_t>(run.step)];
@@ -564,7 +566,7 @@
         health_.recordSuccess(run.worker, now);
     }
     const auto found = jobs_.find(run.jobId);
-    if (found == jobs_.end()) {
+    if (found == jobs_.end() || found->second.submission != run.submission) {
         return;
     }
     Job &job = found->second;
@@ -643,11 +645,9 @@
     enqueueJob(job, now);
 }
 
-/** Whether a task of this or an earlier submission of the job may have run, also at another entry's order. */
-bool WorkScheduler::mayHaveRun(const Job &job, MonotonicTime now)
+bool WorkScheduler::mayHaveRunBefore(const std::string &jobId, MonotonicTime now)
 {
-    return job.hasStarted || runsByJob_.contains(job.id) || interruptedJobs_.contains(job.id, now)
-        || containment_.hasCrashedUnder(job.id);
+    return runsByJob_.contains(jobId) || startedJobs_.contains(jobId, now) || containment_.hasCrashedUnder(jobId);
 }
 
 void WorkScheduler::finishJob(const std::string &jobId,
@@ -658,11 +658,11 @@
     const Job job = std::move(jobs_.at(jobId));
     jobs_.erase(jobId);
     // A rejection tells the caller that no task has run.
-    if (status == ResponseStatus::Rejected && mayHaveRun(job, now)) {
+    if (status == ResponseStatus::Rejected && (job.hasStarted || mayHaveRunBefore(jobId, now))) {
         status = ResponseStatus::Interrupted;
     }
-    if (status == ResponseStatus::Interrupted && job.hasStarted) {
-        interruptedJobs_.add(jobId, now);
+    if (job.hasStarted) {
+        startedJobs_.add(jobId, now);
     }
     if (const auto position = queuePositions_.find(jobId); position != queuePositions_.end()) {
         queue_.erase(position->second);
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -2,9 +2,9 @@
 
 #include "core/time.h"
 #include "request/crash_containment.h"
-#include "request/interrupted_jobs.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
+#include "request/started_jobs.h"
 #include "request/work_command.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -63,6 +63,9 @@
     bool cancel(const std::string &jobId, MonotonicTime now);
     bool hasJob(const std::string &jobId) const;
 
+    /** Whether a task of an earlier submission of the job may have run, also at another entry's order. */
+    bool mayHaveRunBefore(const std::string &jobId, MonotonicTime now);
+
     /** Drops a call whose caller disconnected; stops its job if no other call waits for it. */
     void abandonCall(uint64_t token, MonotonicTime now);
 
@@ -124,6 +127,7 @@
     struct Job
     {
         std::string id;
+        int64_t submission = 0; ///< Tells apart submissions of the same job, one after the other ended.
         std::string requestId;
         std::vector<uint64_t> tokens; ///< Calls that wait for the response.
         wire::Route route;
@@ -144,6 +148,7 @@
     struct Run
     {
         std::string jobId;
+        int64_t submission = 0;
         int step = 0;
         int task = 0;
         std::string agent;
@@ -185,7 +190,6 @@
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
-    bool mayHaveRun(const Job &job, MonotonicTime now);
     void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
     void withdrawRuns(const std::string &jobId, MonotonicTime now);
     Milliseconds retryAfterDelay() const;
@@ -195,7 +199,7 @@
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
     CrashContainment containment_;
-    InterruptedJobs interruptedJobs_;
+    StartedJobs startedJobs_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
     std::map<int64_t, Run> runs_;
@@ -204,6 +208,7 @@
     std::set<QueuePosition> queue_; ///< Jobs with tasks that wait for dispatch.
     absl::flat_hash_map<std::string, QueuePosition> queuePositions_;
     int64_t lastRunNumber_ = 0;
+    int64_t lastSubmission_ = 0;
     double retryBudget_ = 5;
     double dispatchedWork_ = 0; ///< Dispatched since drainMeasuredAt_.
     double drainRate_ = 0; ///< Work dispatched per millisecond while jobs waited.
--- a/tests/request/interrupted_jobs_test.cpp
+++ b/tests/request/started_jobs_test.cpp
@@ -1,14 +1,14 @@
-#include "request/interrupted_jobs.h"
+#include "request/started_jobs.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 using namespace marjoramferry;
 
-TEST_CASE("Interrupted jobs are remembered for a minute, and at most 4096 of them")
+TEST_CASE("Started jobs are remembered for a minute, and at most 4096 of them")
 {
     const MonotonicTime start{std::chrono::hours(1)};
-    InterruptedJobs jobs;
+    StartedJobs jobs;
     jobs.add("a", start);
     CHECK(jobs.contains("a", start + Milliseconds(60'000)));
     CHECK_FALSE(jobs.contains("b", start));
--- /dev/null
+++ b/tests/request/work_entry_test.cpp
@@ -0,0 +1,73 @@
+#include "request/work_entry.h"
+#include "tests/support/scheduler_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace marjoramferry;
+using namespace marjoramferry::testing;
+
+namespace {
+
+SubmitWork jobCall(uint64_t token, Milliseconds estimate)
+{
+    SubmitWork call;
+    call.address.token = token;
+    call.address.host = "quote.example";
+    call.address.path = "/quote/job";
+    call.timeout = Milliseconds(10'000);
+    WorkStep step;
+    step.count = 1;
+    step.demand = {1000, 64, 0};
+    step.estimate = estimate;
+    call.job.steps = {step};
+    return call;
+}
+
+std::vector<CallResponse> responsesOf(const std::vector<WorkEntryCommand> &commands)
+{
+    std::vector<CallResponse> responses;
+    for (const WorkEntryCommand &command : commands) {
+        if (const auto *response = std::get_if<CallResponse>(&command)) {
+            responses.push_back(*response);
+        }
+    }
+    return responses;
+}
+
+} // namespace
+
+// Guards against a refusal that says a job has not run, while the entry runs it for an earlier call.
+TEST_CASE("A stopping entry does not answer a job that it is running as rejected if it is sent again")
+{
+    WorkEntryOptions options;
+    options.name = "entry";
+    options.incarnation = "entry-1";
+    options.linkAddress = "10.0.0.1:7000";
+    WorkEntry entry(options);
+    OperatorStatePolled polled;
+    wire::OperatorState state;
+    state.position = 1;
+    state.configurationVersion = 1;
+    wire::Route quote = route("quote", 0);
+    quote.host = "quote.example";
+    quote.pathPrefix = "/quote/";
+    state.routes = {quote};
+    polled.state = state;
+    entry.handle(polled, Start);
+    entry.handle(LinkMessage{1, agentBatch("a", "north", 16'000)}, Start);
+    entry.handle(Tick{}, Start);
+    entry.flush(Start);
+    entry.handle(jobCall(1, Milliseconds(4000)), Start + Milliseconds(10));
+    bool isOrdered = false;
+    for (const WorkEntryCommand &command : entry.flush(Start + Milliseconds(10))) {
+        const auto *message = std::get_if<SendToLink>(&command);
+        const auto *batch = message == nullptr ? nullptr : std::get_if<wire::EntryBatch>(&message->message);
+        isOrdered = isOrdered || (batch != nullptr && !batch->instructions.empty());
+    }
+    REQUIRE(isOrdered);
+    entry.handle(DrainRequested{}, Start + Milliseconds(20));
+    entry.handle(jobCall(2, Milliseconds(4000)), Start + Milliseconds(30));
+    for (const CallResponse &response : responsesOf(entry.flush(Start + Milliseconds(30)))) {
+        CHECK(response.status != ResponseStatus::Rejected);
+    }
+}
--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -372,3 +372,72 @@
     CHECK(responses[0].token == secondToken);
     CHECK(responses[0].status == ResponseStatus::Interrupted);
 }
+
+// Guards against a refusal that says a job has not run, though a run of its earlier submission ended here.
+TEST_CASE("A job that ended with an answer, and is sent again under overload, is not answered as rejected")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.submit("job", route("quote", 0), 1, 60);
+    const auto orders = fixture.takeOrders(Start);
+    REQUIRE(orders.size() == 1);
+    const bool isCancelled = GENERATE(false, true);
+    CAPTURE(isCancelled);
+    if (isCancelled) {
+        fixture.scheduler.cancel("job", Start);
+    }
+    fixture.endRun("a",
+                   orders[0].second.runNumber,
+                   isCancelled ? wire::RunOutcome::GONE : wire::RunOutcome::DONE,
+                   Start + Milliseconds(60));
+    REQUIRE(fixture.scheduler.takeResponses().size() == 1);
+    fixture.reportCapacity("a", 0, Start + Milliseconds(60));
+    const uint64_t secondToken = fixture.submit("job", route("quote", 0), 1, 60, Start + Milliseconds(70));
+    fixture.takeOrders(Start + Milliseconds(2000));
+    const auto responses = fixture.scheduler.takeResponses();
+    REQUIRE(responses.size() == 1);
+    CHECK(responses[0].token == secondToken);
+    CHECK(responses[0].status != ResponseStatus::Rejected);
+}
+
+// Guards against a job shown as complete through a run of a submission with other steps, and against a write outside of
+// the steps of the job.
+TEST_CASE("A run of an earlier submission with more tasks does not end a job that is sent again with fewer")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    const uint64_t firstToken = fixture.submit("job", route("quote", 0), 2, 60);
+    const auto orders = fixture.takeOrders(Start);
+    REQUIRE(orders.size() == 2);
+    fixture.scheduler.abandonCall(firstToken, Start);
+    fixture.submit("job", route("quote", 0), 1, 60, Start + Milliseconds(10));
+    const auto &second = orders[0].second.taskIndex == 1 ? orders[0] : orders[1];
+    fixture.endRun(second.first, second.second.runNumber, wire::RunOutcome::DONE, Start + Milliseconds(20));
+    CHECK(fixture.scheduler.takeResponses().empty());
+}
+
+// Guards against a job that stays among the waiting ones, and delays the admission of others, after all its tasks were
+// sent.
+TEST_CASE("A run of an earlier submission that failed does not leave the job among the waiting ones")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 16'000);
+    fixture.connectAgent("b", "north", 16'000);
+    const uint64_t firstToken = fixture.submit("job", route("quote", 0), 1, 60);
+    const auto orders = fixture.takeOrders(Start);
+    REQUIRE(orders.size() == 1);
+    fixture.scheduler.abandonCall(firstToken, Start);
+    fixture.submit("job", route("quote", 0), 1, 60, Start + Milliseconds(10));
+    const auto outcome = GENERATE(wire::RunOutcome::GONE, wire::RunOutcome::FAILED);
+    fixture.endRun(orders[0].first, orders[0].second.runNumber, outcome, Start + Milliseconds(20));
+    fixture.reportCapacity("a", 16'000, Start + Milliseconds(20));
+    REQUIRE(fixture.takeOrders(Start + Milliseconds(20)).size() == 1);
+    fixture.scheduler.takeCommands();
+    fixture.submit("next", route("quote", 0), 1, 60, Start + Milliseconds(21));
+    for (const WorkCommand &command : fixture.scheduler.takeCommands()) {
+        const auto *logEvent = std::get_if<LogEvent>(&command);
+        if (logEvent != nullptr && logEvent->event == "job_accepted") {
+            CHECK(logEvent->fields.back().value == "0");
+        }
+    }
+}
