Late jobs may use a worker's reserve that no run has touched for 100 ms

Cause: a quarter of each worker was kept from late jobs at all times.

Change: IdleCapacity keeps, for each worker, the free capacity that has been free for 100 ms; a run of any entry that takes capacity ends that for all of the worker. The reserve for jobs that can still be in time does not cover idle capacity. A worker whose runs come and go keeps its reserve as before.

--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -425,7 +425,7 @@
               {"agent", view.agent},
               {"free_cpu_millis", absl::StrCat(view.available.cpuMillis)},
               {"state_age_ms", absl::StrCat(millisecondsBetween(view.lastMessageAt, now))}});
-    directory_.orderRun(view, order);
+    directory_.orderRun(view, order, now);
     runsByJob_[job.id].insert(lastRunNumber_);
     runs_[lastRunNumber_] = std::move(run);
     retryBudget_ = std::min(MaxRetryBudget, retryBudget_ + options_.retryRatio);
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -121,7 +121,7 @@
         view.openRuns -= static_cast<int>(update.ends.size());
         std::erase_if(view.uncountedDemands, [&](const auto &each) { return each.first <= batch.acknowledged; });
     }
-    updateAvailable(view);
+    updateAvailable(view, now);
     if (batch.__isset.operatorState) {
         update.operatorState = batch.operatorState;
     }
@@ -244,12 +244,13 @@
     }
 }
 
-void WorkerDirectory::updateAvailable(WorkerView &view)
+void WorkerDirectory::updateAvailable(WorkerView &view, MonotonicTime now)
 {
     view.available = fromWire(view.reported.unclaimed);
     for (const auto &[number, demand] : view.uncountedDemands) {
         view.available = view.available - demand;
     }
+    view.idle.record(view.available.cpuMillis, now);
 }
 
 void WorkerDirectory::handleLinkClosed(LinkId link)
@@ -286,7 +287,7 @@
         }
         view.mayHaveEarlierRuns = false;
         beginSession(view);
-        updateAvailable(view);
+        updateAvailable(view, now);
         out_.log(LogEvent::Level::Warning,
                  "agent_session_expired",
                  {{"agent", view.agent}, {"silent_ms", absl::StrCat(millisecondsBetween(view.lastMessageAt, now))}});
@@ -295,7 +296,7 @@
     return expired;
 }
 
-void WorkerDirectory::orderRun(WorkerView &view, const wire::RunOrder &order)
+void WorkerDirectory::orderRun(WorkerView &view, const wire::RunOrder &order, MonotonicTime now)
 {
     const Demand demand = fromWire(order.demand);
     wire::RunInstruction instruction;
@@ -303,7 +304,7 @@
     view.instructions.add(std::move(instruction));
     view.uncountedDemands.emplace_back(view.instructions.newestSequenceNumber(), demand);
     ++view.openRuns;
-    updateAvailable(view);
+    updateAvailable(view, now);
 }
 
 void WorkerDirectory::withdrawRun(const std::string &agent, int64_t session, int64_t runNumber)
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "request/demand.h"
 #include "request/entry_command.h"
+#include "request/idle_capacity.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
 #include "request/worker_subset.h"
@@ -32,6 +33,9 @@
     size_t activationBatch = 4;
 };
 
+/** Free capacity of a worker counts as idle after this time without a run that took some of it. */
+inline constexpr Milliseconds WorkerIdleTime{100};
+
 /** Last known state of a worker and its agent, and the session with the agent. */
 struct WorkerView
 {
@@ -56,6 +60,7 @@
      */
     std::vector<std::pair<int64_t, Demand>> uncountedDemands;
     Demand available; ///< Free capacity: the reported one less uncountedDemands.
+    IdleCapacity idle{WorkerIdleTime}; ///< Of the processor capacity in `available`.
     int64_t operatorPosition = 0; ///< Of the operator state that the agent has.
     int64_t operatorPositionSent = 0; ///< Of the newest operator state sent over this link.
     bool wantsOperatorState = false; ///< The agent has asked for the operator state.
@@ -123,7 +128,7 @@
     /** Begins a new session with each agent with runs that was silent for too long, and returns these agents. */
     std::vector<ExpiredSession> expireSilentSessions(MonotonicTime now);
 
-    void orderRun(WorkerView &view, const wire::RunOrder &order);
+    void orderRun(WorkerView &view, const wire::RunOrder &order, MonotonicTime now);
     void withdrawRun(const std::string &agent, int64_t session, int64_t runNumber);
 
     /** Adds the address of an entry, which is sent to each agent once per connection. */
@@ -154,7 +159,7 @@
 
 private:
     void beginSession(WorkerView &view);
-    void updateAvailable(WorkerView &view);
+    void updateAvailable(WorkerView &view, MonotonicTime now);
     void selectSubsets(const OperatorStateCache &operatorState, MonotonicTime now);
     bool isEligible(const WorkerView &view, const OperatorStateCache &operatorState, MonotonicTime now) const;
     bool canActivateMore() const;
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -58,7 +58,7 @@
     for (WorkerView *each : directory_.activeViews()) {
         WorkerView &view = *each;
         const wire::WorkerState &state = view.state;
-        const Demand overcommit = overcommitFor(state, step.demand, route, isLate, operatorState);
+        const Demand overcommit = overcommitFor(view, step.demand, route, isLate, operatorState, now);
         if (!step.demand.fitsIn(view.available + overcommit) || !directory_.isUsable(view, now)
             || state.serviceName != route.serviceName || operatorState.isEvacuated(state.domain)
             || !hasLabel(state, step.requiredLabel)
@@ -88,18 +88,20 @@
         now);
 }
 
-Demand WorkerSelector::overcommitFor(const wire::WorkerState &worker,
+Demand WorkerSelector::overcommitFor(const WorkerView &view,
                                      const Demand &demand,
                                      const wire::Route &route,
                                      bool isLate,
-                                     const OperatorStateCache &operatorState) const
+                                     const OperatorStateCache &operatorState,
+                                     MonotonicTime now) const
 {
-    const int capacity = worker.capacity.cpuMillis;
+    const int capacity = view.state.capacity.cpuMillis;
     if (isLate) {
         // The reserve must leave room for the task itself: one that needs nearly a whole worker could start nowhere
         // else.
         const int maxReserve = std::max(0, capacity - demand.cpuMillis);
-        return Demand{-std::min(static_cast<int>(capacity * options_.lateReserve), maxReserve), 0, 0};
+        const int used = std::max(0, view.available.cpuMillis - view.idle.at(now));
+        return Demand{-std::min({static_cast<int>(capacity * options_.lateReserve), maxReserve, used}), 0, 0};
     }
     if (operatorState.isHighestPriority(route)) {
         // At least one run may wait, also if tasks use a large part of a worker.
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -24,8 +24,9 @@
      */
     double priorityOvercommit = 0.1;
     /**
-     * Share of each worker reserved for jobs that can still be in time. Otherwise an entry with few callers would
-     * fill the workers with late jobs while jobs that can still be in time wait at other entries.
+     * Share of each worker reserved for jobs that can still be in time, as long as its free capacity is in use.
+     * Otherwise an entry with few callers would fill the workers with late jobs while jobs that can still be in time
+     * wait at other entries.
      */
     double lateReserve = 0.25;
     double remoteSlowdown = 1.5; ///< Factor by which tasks run longer on a worker without their data.
@@ -74,11 +75,12 @@
                             const std::string &onlyAgent);
 
 private:
-    Demand overcommitFor(const wire::WorkerState &worker,
+    Demand overcommitFor(const WorkerView &view,
                          const Demand &demand,
                          const wire::Route &route,
                          bool isLate,
-                         const OperatorStateCache &operatorState) const;
+                         const OperatorStateCache &operatorState,
+                         MonotonicTime now) const;
 
     const WorkerSelectorOptions options_;
     WorkerDirectory &directory_;
--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -348,3 +348,18 @@
     }
     CHECK(orders == 1);
 }
+
+// Guards against late jobs that take the reserve between two runs of other entries.
+TEST_CASE("A late job leaves the late reserve free on a worker whose free capacity other runs keep taking")
+{
+    SchedulerFixture fixture;
+    fixture.connectAgent("a", "north", 4000);
+    fixture.submit("late", route("quote", 0), 1, 60, Start, 9000);
+    MonotonicTime now = Start + Milliseconds(120);
+    for (int i = 0; i < 10; ++i) {
+        fixture.reportCapacity("a", i % 2 == 0 ? 10'000 : 4000, now);
+        CHECK(fixture.takeOrders(now).empty());
+        now += Milliseconds(45);
+        CHECK(fixture.takeOrders(now).empty());
+    }
+}
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -111,7 +111,7 @@
         activateOther(now);
         directory.handleBatch(other[0], batchOf(other, 2), now);
         WorkerView &view = viewOf(other);
-        directory.orderRun(view, wire::RunOrder());
+        directory.orderRun(view, wire::RunOrder(), now);
         return view;
     }
 
@@ -202,7 +202,7 @@
     "Runs of an agent that restarted and then fell silent before it cleared them are lost after the session time-out")
 {
     TwoAgents fixture;
-    fixture.directory.orderRun(fixture.viewOf(fixture.member), wire::RunOrder());
+    fixture.directory.orderRun(fixture.viewOf(fixture.member), wire::RunOrder(), Start);
     wire::AgentBatch restarted = fixture.batchOf(fixture.member, 1);
     restarted.incarnation = fixture.member + "-2";
     restarted.cleared = false;
