Split JobOwner by duty into classes that are tested alone

Change: SubmissionCheck and OwnerQuotas (submission), OwnerClaims (claims over changes of the incarnation), OwnedShards and start_adoption (recovery and hand-over), job_answer and ReplyQueue (answers), JobTable, TaskReconciler and UnreachableAgents. JobOwner coordinates them and is no longer on the list of long files. misc/remove_guards.py follows the three guards whose text moved. No change of behaviour is meant.

--- a/misc/remove_guards.py
+++ b/misc/remove_guards.py
@@ -33,11 +33,11 @@
      "    claim(*run, true);\n}", "    finishFailed(run, true, now, out);\n}"),
     ("lease before \"no\" is said", "owner/claim_log.cpp",
      "return state_ != State::Fenced && now < renewedAt_ + timing_.leaseDuration;", "return true;"),
-    ("sent tasks are asked for before \"no\" is said", "owner/job_owner.cpp",
+    ("sent tasks are asked for before \"no\" is said", "owner/job_answer.cpp",
      "    case TaskPhase::Waiting:\n        return wire::Ran::NO;", "    case TaskPhase::Sent:\n    case TaskPhase::Waiting:\n        return wire::Ran::NO;"),
     ("tasks at a lost agent stay there", "owner/job_owner.cpp",
-     "    unreachable_[agent.name] = UnreachableAgent{agent.incarnation, now};\n",
-     "    unreachable_[agent.name] = UnreachableAgent{agent.incarnation, now};\n    for (auto &[id, run] : jobs_) {\n"
+     "    unreachable_.add(AgentIncarnation{agent.name, agent.incarnation}, now);\n",
+     "    unreachable_.add(AgentIncarnation{agent.name, agent.incarnation}, now);\n    for (auto &[id, run] : jobs_) {\n"
      "        for (int i = 0; i < static_cast<int>(run->tasks.size()); ++i) {\n"
      "            if (run->tasks[static_cast<size_t>(i)].occupiesSlot() && run->tasks[static_cast<size_t>(i)].agent == agent.name) {\n"
      "                onTaskRefused(run, i);\n            }\n        }\n    }\n"),
@@ -53,8 +53,8 @@
      "    return draining_ || !endpoint_ || endpoint_->leaving;", "    return draining_ || !endpoint_;"),
     ("versions only go up", "owner/agent_core.cpp",
      "reply.__isset.catalog && reply.noteVersion > catalog_.version", "reply.__isset.catalog && reply.noteVersion != catalog_.version"),
-    ("hand-over unresolved", "owner/job_owner.cpp",
-     "owned->second.drainingSince < clusterState_.ownershipVersion()", "true"),
+    ("hand-over unresolved", "owner/owned_shards.cpp",
+     "owned->second.drainingSince < version", "true"),
     ("drain waits for jobs", "owner/entry_core.cpp",
      "if (isOwner && owner_.activeJobs() == 0 && (!hasShards || !hasPeers)) {", "if (isOwner) {"),
     ("answers go to their own request", "owner/job_router.cpp",
--- a/owner/job_owner.cpp
+++ b/owner/job_owner.cpp
@@ -1,10 +1,13 @@
 #include "owner/job_owner.h"
 
 #include "core/shard.h"
+#include "owner/job_answer.h"
+#include "owner/start_adoption.h"
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
 #include <utility>
 
@@ -12,36 +15,7 @@
 
 namespace {
 
-constexpr int StatusOk = 200;
-constexpr int StatusConflict = 409;
 constexpr int StatusUnavailable = 503;
-constexpr int FailedRetryAfterMs = 1000;
-
-wire::Ran::type ranStateOf(TaskPhase phase)
-{
-    switch (phase) {
-    case TaskPhase::Waiting:
-        return wire::Ran::NO;
-    case TaskPhase::Running:
-    case TaskPhase::Succeeded:
-    case TaskPhase::Failed:
-        return wire::Ran::YES;
-    default:
-        return wire::Ran::UNKNOWN;
-    }
-}
-
-bool hasNoStartedTask(const JobRun &run)
-{
-    return std::ranges::all_of(run.tasks, [](const TaskRun &task) { return task.phase == TaskPhase::Waiting; });
-}
-
-void markNotRunAsUnknown(wire::JobAnswer &answer)
-{
-    for (wire::TaskResult &task : answer.tasks) {
-        task.ran = task.ran == wire::Ran::NO ? wire::Ran::UNKNOWN : task.ran;
-    }
-}
 
 } // namespace
 
@@ -53,97 +27,36 @@
     , clusterState_(clusterState)
     , directory_(directory)
     , answers_(timing.answerRetention, timing.maxAnswerBytes)
-    , dispatcher_(clusterState, directory, placement, *this)
+    , quotas_(clusterState.catalog(), clusterState.ownership(), clusterState.localOwner())
+    , dispatcher_(clusterState, directory, placement, quotas_)
+    , submissions_(clusterState.freshness(), clusterState.catalog(), quotas_, directory, runTimes_)
+    , claims_(timing.claims)
+    , shards_(timing.recoveryTimeout)
+    , unreachable_(timing.lostAgentTimeout)
+    , reconciler_(directory, unreachable_)
 {
 }
 
 // --- Shards ---------------------------------------------------------------------------------
 
 void JobOwner::onOwnershipChanged(MonotonicTime now, EntryOutbox &out)
-{
-    openClaimLog();
-    const std::string &self = clusterState_.localOwner().incarnation;
-    std::vector<int> gained;
-    for (int index = 0; index < ShardCount; ++index) {
-        const ShardOwnership &shard = clusterState_.ownership().shard(index);
-        const auto owned = shards_.find(index);
-        const bool isOwnedHere = shard.owner == self && claims_.has_value();
-        if (owned != shards_.end() && (!isOwnedHere || owned->second.epoch != shard.epoch)) {
-            dropShard(index, out);
-        }
-        if (isOwnedHere && !shards_.contains(index)) {
-            shards_[index] = ShardState{shard.epoch, 0, std::nullopt};
-            gained.push_back(index);
-        } else if (isOwnedHere && owned->second.drainingSince < clusterState_.ownershipVersion()) {
-            // The ownership map changed without moving this shard, so its pending hand-over can't take effect any more.
-            owned->second.drainingSince.reset();
-        }
-    }
-    startRecoveries(gained, now);
-}
-
-void JobOwner::openClaimLog()
 {
     const std::string &self = clusterState_.localOwner().incarnation;
     const bool isOwner = clusterState_.ownership().owners().contains(self);
-    if (!isOwner || incarnation_ == self || clusterState_.localFenceVersion() == 0 || !clusterState_.joinSentAt()) {
-        return;
+    if (isOwner && clusterState_.localFenceVersion() != 0 && clusterState_.joinSentAt()) {
+        claims_.open(self, clusterState_.localFenceVersion(), *clusterState_.joinSentAt());
     }
-    incarnation_ = self;
-    ++claimGeneration_;
-    claims_.emplace(self, clusterState_.localFenceVersion(), *clusterState_.joinSentAt(), timing_.claims);
-}
-
-void JobOwner::startRecoveries(const std::vector<int> &gained, MonotonicTime now)
-{
-    if (gained.empty()) {
-        return;
+    const auto owner = claims_.isOpen() ? std::optional(self) : std::nullopt;
+    for (const int shard : shards_.update(clusterState_.ownership(), clusterState_.ownershipVersion(), owner, now)) {
+        dropJobs(shard, out);
     }
-    std::vector<wire::ShardEpoch> epochs;
-    std::set<std::string> predecessors;
-    for (const int index : gained) {
-        const ShardOwnership &shard = clusterState_.ownership().shard(index);
-        wire::ShardEpoch epoch;
-        epoch.shard = index;
-        epoch.epoch = shard.epoch;
-        epochs.push_back(epoch);
-        for (const Predecessor &each : shard.predecessors) {
-            predecessors.insert(each.incarnation);
-        }
-        shards_.at(index).recoveryId = lastRecoveryId_ + 1;
-    }
-    ++lastRecoveryId_;
-    recoveries_.try_emplace(
-        lastRecoveryId_, lastRecoveryId_, std::move(epochs), predecessors, now, timing_.recoveryTimeout);
 }
 
-void JobOwner::finishRecoveries(MonotonicTime now, EntryOutbox &out)
+void JobOwner::submitDeferred(MonotonicTime now, EntryOutbox &out)
 {
-    for (auto entry = recoveries_.begin(); entry != recoveries_.end();) {
-        entry->second.advance(directory_, now, out);
-        if (!entry->second.isDone(now)) {
-            ++entry;
-            continue;
-        }
-        RecoveredShards result = entry->second.result();
-        out.log(LogEvent::Level::Info,
-                "shards_recovered",
-                {{"shards", absl::StrCat(result.shards.size())}, {"jobs", absl::StrCat(result.jobs.size())}});
-        for (const int index : result.shards) {
-            const auto shard = shards_.find(index);
-            if (shard != shards_.end() && shard->second.recoveryId == entry->first) {
-                shard->second.recoveryId = 0;
-            }
-        }
-        for (auto &[jobId, job] : result.jobs) {
-            recovered_[shardOf(jobId)][jobId] = std::move(job);
-        }
-        entry = recoveries_.erase(entry);
-    }
     std::vector<DeferredRequest> deferred = std::exchange(deferred_, {});
     for (DeferredRequest &request : deferred) {
-        const auto shard = shards_.find(shardOf(request.message.job.jobId));
-        if (shard != shards_.end() && shard->second.recoveryId != 0 && now < request.deadline) {
+        if (shards_.isRecovering(shardOf(request.message.job.jobId)) && now < request.deadline) {
             deferred_.push_back(std::move(request));
             continue;
         }
@@ -152,17 +65,9 @@
     }
 }
 
-void JobOwner::dropShard(int shard, EntryOutbox &out)
+void JobOwner::dropJobs(int shard, EntryOutbox &out)
 {
-    shards_.erase(shard);
-    recovered_.erase(shard);
-    std::vector<JobRunPtr> dropped;
-    for (const JobRunPtr &run : jobs_ | std::views::values) {
-        if (run->shard == shard) {
-            dropped.push_back(run);
-        }
-    }
-    for (const JobRunPtr &run : dropped) {
+    for (const JobRunPtr &run : jobs_.jobsOf(shard)) {
         if (run->phase != JobPhase::Ended) {
             out.log(LogEvent::Level::Warning, "job_moved", {{"job", run->job.jobId}, {"tenant", run->job.tenant}});
         }
@@ -175,10 +80,9 @@
             }
         });
         for (const Waiter &waiter : run->waiters) {
-            replyWithKind(waiter, run->job.jobId, wire::AnswerKind::MOVED);
+            replies_.addKind(waiter, run->job.jobId, wire::AnswerKind::MOVED);
         }
         run->phase = JobPhase::Ended;
-        active_.erase(run->job.jobId);
         jobs_.erase(run->job.jobId);
     }
     // Expiry removes jobs by id, so a retained run would later remove a newer run of the same job.
@@ -187,66 +91,21 @@
 
 void JobOwner::dropAllShards(EntryOutbox &out)
 {
-    while (!shards_.empty()) {
-        dropShard(shards_.begin()->first, out);
-    }
-    recoveries_.clear();
-    claims_.reset();
+    std::ranges::for_each(shards_.clear(), [&](int shard) { dropJobs(shard, out); });
     for (const DeferredRequest &request : std::exchange(deferred_, {})) {
-        replyWithKind(
+        replies_.addKind(
             Waiter{request.link, request.message.requestId}, request.message.job.jobId, wire::AnswerKind::MOVED);
     }
 }
 
 void JobOwner::beginDraining(const std::vector<int> &shards)
 {
-    for (const int index : shards) {
-        if (const auto found = shards_.find(index); found != shards_.end() && !found->second.drainingSince) {
-            found->second.drainingSince = clusterState_.ownershipVersion();
-        }
-    }
+    shards_.beginDraining(shards, clusterState_.ownershipVersion());
 }
 
 std::vector<int> JobOwner::idleDrainingShards() const
 {
-    std::set<int> busy;
-    for (const JobRunPtr &run : active_ | std::views::values) {
-        busy.insert(run->shard);
-    }
-    std::vector<int> idle;
-    for (const auto &[index, state] : shards_) {
-        if (state.drainingSince && state.recoveryId == 0 && !busy.contains(index)) {
-            idle.push_back(index);
-        }
-    }
-    return idle;
-}
-
-size_t JobOwner::recoveringShards() const
-{
-    return static_cast<size_t>(
-        std::ranges::count_if(shards_, [](const auto &entry) { return entry.second.recoveryId != 0; }));
-}
-
-bool JobOwner::consumeFencedFlag()
-{
-    return std::exchange(fenced_, false);
-}
-
-// --- Quotas ---------------------------------------------------------------------------------
-
-int JobOwner::ownShareOf(int limit) const
-{
-    const auto &owners = clusterState_.ownership().owners();
-    const auto self = owners.find(clusterState_.localOwner().incarnation);
-    const int index = static_cast<int>(std::distance(owners.begin(), self));
-    return self == owners.end() ? 0 : shareOfLimit(limit, index, static_cast<int>(owners.size()));
-}
-
-int JobOwner::runningLimit(const std::string &tenant) const
-{
-    const auto limits = clusterState_.catalog().tenants.find(tenant);
-    return limits == clusterState_.catalog().tenants.end() ? 0 : ownShareOf(limits->second.maxRunning);
+    return shards_.idleDrainingShards(jobs_.busyShards());
 }
 
 // --- Submission -----------------------------------------------------------------------------
@@ -255,20 +114,20 @@
 {
     const Waiter waiter{link, message.requestId};
     const std::string &jobId = message.job.jobId;
-    const auto shard = shards_.find(shardOf(jobId));
-    if (shard == shards_.end()) {
-        replyWithKind(waiter, jobId, wire::AnswerKind::NOT_TAKEN);
+    const int shard = shardOf(jobId);
+    if (!shards_.contains(shard)) {
+        replies_.addKind(waiter, jobId, wire::AnswerKind::NOT_TAKEN);
         return;
     }
-    if (const auto known = jobs_.find(jobId); known != jobs_.end()) {
-        submitExisting(known->second, message, waiter);
+    if (const JobRunPtr known = jobs_.find(jobId)) {
+        submitExisting(known, message, waiter);
         return;
     }
-    if (shard->second.drainingSince) {
-        replyWithKind(waiter, jobId, wire::AnswerKind::NOT_TAKEN);
+    if (shards_.isDraining(shard)) {
+        replies_.addKind(waiter, jobId, wire::AnswerKind::NOT_TAKEN);
         return;
     }
-    if (shard->second.recoveryId != 0) {
+    if (shards_.isRecovering(shard)) {
         deferred_.push_back(DeferredRequest{link, message, now + Milliseconds(message.remainingMs)});
         return;
     }
@@ -278,18 +137,11 @@
 void JobOwner::submitExisting(const JobRunPtr &run, const wire::SubmitJob &message, const Waiter &waiter)
 {
     if (run->job.fingerprint != message.job.fingerprint) {
-        wire::JobAnswer answer = makeNotRunAnswer(message.job,
-                                                  StatusConflict,
-                                                  "other_body",
-                                                  "job_id: already used by a job with another body; use a new job_id",
-                                                  0);
-        // The other body may use the same task ids, so the answer must not state whether they ran.
-        answer.tasks.clear();
-        reply(waiter, answer);
+        replies_.add(waiter, makeConflictAnswer(message.job));
         return;
     }
     if (run->phase == JobPhase::Ended) {
-        reply(waiter, run->outputsDropped ? makeOutputDroppedAnswer(message.job) : run->answer);
+        replies_.add(waiter, run->outputsDropped ? makeOutputDroppedAnswer(message.job) : run->answer);
         return;
     }
     // A request may arrive again after a broken connection.
@@ -298,82 +150,36 @@
     run->waiters.push_back(waiter);
 }
 
-std::optional<wire::JobAnswer> JobOwner::validateSubmission(const wire::SubmitJob &message, MonotonicTime now)
-{
-    if (!clusterState_.isFresh(now)) {
-        return makeNotRunAnswer(message.job,
-                                StatusUnavailable,
-                                "not_fresh",
-                                "the entry cannot read the version in force; retry later",
-                                FailedRetryAfterMs);
-    }
-    if (message.remainingMs <= 0) {
-        return makeNotRunAnswer(
-            message.job, StatusUnavailable, "too_late", "the deadline passed before the job was admitted", 1);
-    }
-    const auto limits = clusterState_.catalog().tenants.find(message.job.tenant);
-    AdmissionLoad load;
-    load.tenantQueued = dispatcher_.tenantCounts(message.job.tenant).queued;
-    load.serviceQueued = dispatcher_.serviceCounts(message.job.serviceName).queued;
-    if (limits != clusterState_.catalog().tenants.end()) {
-        load.tenantRunningLimit = ownShareOf(limits->second.maxRunning);
-        load.tenantQueueLimit = ownShareOf(limits->second.maxQueued);
-    }
-    return checkAdmission(
-        message.job, Milliseconds(message.remainingMs), load, clusterState_.catalog(), directory_, runTimes_);
-}
-
 void JobOwner::submitNew(const wire::SubmitJob &message, const Waiter &waiter, MonotonicTime now, EntryOutbox &out)
 {
-    const auto &recovered = recovered_[shardOf(message.job.jobId)];
-    const auto known = recovered.find(message.job.jobId);
-    if (known == recovered.end()) {
-        if (auto refusal = validateSubmission(message, now)) {
-            if (!claims_->hasLease(now)) {
+    const RecoveredJob *recovered = shards_.findRecovered(message.job.jobId);
+    if (recovered == nullptr) {
+        if (auto refusal = submissions_.check(message, dispatcher_, now)) {
+            if (!claims_.hasLease(now)) {
                 markNotRunAsUnknown(*refusal);
             }
-            reply(waiter, *refusal);
+            replies_.add(waiter, *refusal);
             return;
         }
         claim(*createRun(message, waiter, now), false);
         return;
     }
-    if (known->second.fingerprint != message.job.fingerprint && known->second.fingerprint != 0) {
-        JobRun other;
-        other.job.fingerprint = known->second.fingerprint;
-        submitExisting(std::make_shared<JobRun>(std::move(other)), message, waiter);
+    if (recovered->fingerprint != message.job.fingerprint && recovered->fingerprint != 0) {
+        replies_.add(waiter, makeConflictAnswer(message.job));
         return;
     }
-    adoptStarts(createRun(message, waiter, now), known->second, now, out);
+    resume(createRun(message, waiter, now), *recovered, now, out);
 }
 
 JobRunPtr JobOwner::createRun(const wire::SubmitJob &message, const Waiter &waiter, MonotonicTime now)
 {
-    auto run = std::make_shared<JobRun>();
-    run->job = message.job;
-    run->shard = shardOf(message.job.jobId);
-    run->epoch = shards_.at(run->shard).epoch;
-    run->tasks.resize(message.job.tasks.size());
-    run->waiters.push_back(waiter);
-    run->submittedAt = now;
-    run->deadline = now + Milliseconds(message.remainingMs);
-    run->unfinished = static_cast<int>(run->tasks.size());
-    run->waiting = run->unfinished;
-    jobs_[run->job.jobId] = run;
-    active_[run->job.jobId] = run;
-    return run;
-}
-
-void JobOwner::adoptStarts(const JobRunPtr &run, const RecoveredJob &recovered, MonotonicTime now, EntryOutbox &out)
-{
-    for (size_t index = 0; index < run->tasks.size(); ++index) {
-        const auto start = recovered.starts.find(run->job.tasks[index].taskId);
-        if (start != recovered.starts.end()) {
-            adoptStart(run, index, start->second);
-        } else if (!recovered.hasAllRecords) {
-            run->tasks[index].phase = TaskPhase::Uncertain;
-            --run->waiting;
-        }
+    return jobs_.create(message, waiter, shards_.epochOf(shardOf(message.job.jobId)), now);
+}
+
+void JobOwner::resume(const JobRunPtr &run, const RecoveredJob &recovered, MonotonicTime now, EntryOutbox &out)
+{
+    for (int running = adoptStarts(*run, recovered); running > 0; --running) {
+        dispatcher_.countAdopted(*run);
     }
     if (run->unfinished == 0) {
         complete(run, now, out);
@@ -384,49 +190,22 @@
         fail(run, "owner_lost", "the job's owner was lost and the state of some tasks cannot be recovered", now, out);
         return;
     }
-    requestTaskStates(*run, TaskPhase::Running, now, out);
+    reconciler_.requestStates(*run, TaskPhase::Running, dispatcher_.sequence(), now, out);
     claim(*run, false);
 }
 
-void JobOwner::adoptStart(const JobRunPtr &run, size_t index, const RecoveredStart &start)
-{
-    TaskRun &task = run->tasks[index];
-    task.agent = start.agent;
-    task.incarnation = start.incarnation;
-    --run->waiting;
-    switch (start.record.state) {
-    case wire::StartState::RUNNING:
-        task.phase = TaskPhase::Running;
-        dispatcher_.countAdopted(*run);
-        return;
-    case wire::StartState::SUCCEEDED:
-        task.phase = TaskPhase::Succeeded;
-        task.output = start.record.output;
-        task.outputDropped = start.record.outputDropped;
-        --run->unfinished;
-        return;
-    case wire::StartState::FAILED:
-        task.phase = TaskPhase::Failed;
-        return;
-    default:
-        task.phase = TaskPhase::Uncertain;
-        return;
-    }
-}
-
 void JobOwner::claim(const JobRun &run, bool ended)
 {
-    claims_->add(Claim{run.job.jobId, run.job.fingerprint, run.shard, ended});
+    claims_.add(Claim{run.job.jobId, run.job.fingerprint, run.shard, ended});
 }
 
 void JobOwner::onClaimed(const ClaimsCommitted &committed, MonotonicTime now, EntryOutbox &out)
 {
     for (const Claim &claimed : committed.claims) {
-        const auto found = jobs_.find(claimed.jobId);
-        if (found == jobs_.end()) {
+        const JobRunPtr run = jobs_.find(claimed.jobId);
+        if (run == nullptr) {
             continue;
         }
-        const JobRunPtr run = found->second;
         if (claimed.ended && run->phase == JobPhase::Recording) {
             finishFailed(run, true, now, out);
         } else if (!claimed.ended && run->phase == JobPhase::Claiming) {
@@ -450,34 +229,26 @@
 void JobOwner::onLookup(LinkId link, const wire::LookupJob &message, MonotonicTime now, EntryOutbox &out)
 {
     const Waiter waiter{link, message.requestId};
-    const auto shard = shards_.find(shardOf(message.jobId));
-    if (shard == shards_.end()) {
-        replyWithKind(waiter, message.jobId, wire::AnswerKind::NOT_TAKEN);
+    const int shard = shardOf(message.jobId);
+    if (!shards_.contains(shard)) {
+        replies_.addKind(waiter, message.jobId, wire::AnswerKind::NOT_TAKEN);
         return;
     }
-    const auto found = jobs_.find(message.jobId);
-    if (found == jobs_.end()) {
-        const auto &recovered = recovered_[shard->first];
-        const bool isClaimed = shard->second.recoveryId != 0 || recovered.contains(message.jobId);
-        wire::JobAnswer answer;
-        answer.jobId = message.jobId;
-        answer.kind = isClaimed ? wire::AnswerKind::RUNNING : wire::AnswerKind::UNKNOWN_JOB;
-        answer.errorKind = isClaimed ? "owner_lost" : "not_found";
-        answer.errorMessage = isClaimed ? "the job's owner was lost; submit the same body again to get its answer"
-                                        : "no job with this id is known; submit the job or correct the id";
-        reply(waiter, answer);
+    const JobRunPtr run = jobs_.find(message.jobId);
+    if (run == nullptr) {
+        const bool isClaimed = shards_.isRecovering(shard) || shards_.findRecovered(message.jobId) != nullptr;
+        replies_.add(waiter, makeAbsentAnswer(message.jobId, isClaimed));
         return;
     }
-    const JobRunPtr run = found->second;
     if (message.cancel && (run->phase == JobPhase::Claiming || run->phase == JobPhase::Running)) {
         fail(run, "cancelled", "the caller cancelled the job", now, out);
     }
     if (run->phase == JobPhase::Ended) {
-        reply(waiter, run->outputsDropped ? makeOutputDroppedAnswer(run->job) : run->answer);
+        replies_.add(waiter, run->outputsDropped ? makeOutputDroppedAnswer(run->job) : run->answer);
     } else if (message.cancel) {
         run->waiters.push_back(waiter);
     } else {
-        replyWithKind(waiter, message.jobId, wire::AnswerKind::RUNNING);
+        replies_.addKind(waiter, message.jobId, wire::AnswerKind::RUNNING);
     }
 }
 
@@ -486,12 +257,8 @@
 void JobOwner::onTaskReport(const wire::TaskReport &report, MonotonicTime now, EntryOutbox &out)
 {
     directory_.recordReport(report, now);
-    const auto found = jobs_.find(report.jobId);
-    if (found == jobs_.end()) {
-        return;
-    }
-    const JobRunPtr run = found->second;
-    const int index = run->indexOf(report.taskId);
+    const JobRunPtr run = jobs_.find(report.jobId);
+    const int index = run == nullptr ? -1 : run->indexOf(report.taskId);
     if (index < 0) {
         return;
     }
@@ -548,79 +315,31 @@
 
 void JobOwner::onAgentUnreachable(const AgentView &agent, MonotonicTime now)
 {
-    unreachable_[agent.name] = UnreachableAgent{agent.incarnation, now};
+    unreachable_.add(AgentIncarnation{agent.name, agent.incarnation}, now);
 }
 
 void JobOwner::onAgentReconnected(const AgentView &agent, MonotonicTime now, EntryOutbox &out)
 {
-    const auto unreachable = unreachable_.find(agent.name);
-    if (unreachable == unreachable_.end()) {
+    const auto unreachable = unreachable_.remove(agent.name);
+    if (!unreachable) {
         return;
     }
-    const std::string previousIncarnation = unreachable->second.incarnation;
-    unreachable_.erase(unreachable);
-    if (previousIncarnation != agent.incarnation) {
-        declareAgentLost(agent.name, previousIncarnation, now, out);
+    if (unreachable->incarnation != agent.incarnation) {
+        declareAgentLost(*unreachable, now, out);
         return;
     }
-    for (const JobRunPtr &run : jobs_ | std::views::values) {
-        std::vector<std::string> taskIds;
-        for (size_t index = 0; index < run->tasks.size(); ++index) {
-            if (run->tasks[index].occupiesSlot() && run->tasks[index].agent == agent.name) {
-                taskIds.push_back(run->job.tasks[index].taskId);
-            }
-        }
-        if (!taskIds.empty()) {
-            sendResolveTasks(agent, *run, std::move(taskIds), out);
-        }
+    for (const JobRunPtr &run : jobs_.all() | std::views::values) {
+        TaskReconciler::requestStatesFrom(agent, *run, dispatcher_.sequence(), out);
     }
 }
 
-void JobOwner::sendResolveTasks(const AgentView &agent,
-                                const JobRun &run,
-                                std::vector<std::string> taskIds,
-                                EntryOutbox &out) const
-{
-    wire::ResolveTasks message;
-    message.jobId = run.job.jobId;
-    message.taskIds = std::move(taskIds);
-    message.shard = run.shard;
-    message.epoch = run.epoch;
-    message.sequence = dispatcher_.sequence();
-    out.add(SendToLink{agent.link, std::move(message)});
-}
-
-void JobOwner::requestTaskStates(const JobRun &run, TaskPhase phase, MonotonicTime now, EntryOutbox &out)
-{
-    std::map<std::string, std::vector<std::string>> byAgent;
-    for (size_t index = 0; index < run.tasks.size(); ++index) {
-        const TaskRun &task = run.tasks[index];
-        if (task.phase != phase) {
-            continue;
-        }
-        byAgent[task.agent].push_back(run.job.tasks[index].taskId);
-        if (directory_.find(task.agent) == nullptr) {
-            // Asked when it reconnects; otherwise declared lost after the timeout.
-            unreachable_.try_emplace(task.agent, UnreachableAgent{task.incarnation, now});
-        }
-    }
-    for (auto &[name, taskIds] : byAgent) {
-        if (const AgentView *agent = directory_.find(name)) {
-            sendResolveTasks(*agent, run, std::move(taskIds), out);
-        }
-    }
-}
-
-void JobOwner::declareAgentLost(const std::string &agent,
-                                const std::string &incarnation,
-                                MonotonicTime now,
-                                EntryOutbox &out)
+void JobOwner::declareAgentLost(const AgentIncarnation &agent, MonotonicTime now, EntryOutbox &out)
 {
     std::vector<JobRunPtr> affected;
-    for (const JobRunPtr &run : jobs_ | std::views::values) {
+    for (const JobRunPtr &run : jobs_.all() | std::views::values) {
         bool isAffected = false;
         for (TaskRun &task : run->tasks) {
-            if (task.occupiesSlot() && task.agent == agent && task.incarnation == incarnation) {
+            if (task.occupiesSlot() && AgentIncarnation{task.agent, task.incarnation} == agent) {
                 task.phase = TaskPhase::Uncertain;
                 dispatcher_.countFinished(*run);
                 isAffected = true;
@@ -632,7 +351,7 @@
     }
     for (const JobRunPtr &run : affected) {
         if (run->phase == JobPhase::Running) {
-            fail(run, "worker_lost", "agent " + agent + " was lost while it ran tasks of the job", now, out);
+            fail(run, "worker_lost", "agent " + agent.name + " was lost while it ran tasks of the job", now, out);
         } else if (run->phase == JobPhase::Resolving) {
             advanceResolving(run, now, out);
         }
@@ -645,20 +364,8 @@
 {
     if (std::ranges::any_of(run->tasks, &TaskRun::outputDropped)) {
         run->answer = makeOutputDroppedAnswer(run->job);
-        finish(run, now, out);
-        answers_.add(run);
-        return;
-    }
-    run->answer = wire::JobAnswer();
-    run->answer.jobId = run->job.jobId;
-    run->answer.kind = wire::AnswerKind::COMPLETE;
-    run->answer.tasks.reserve(run->tasks.size());
-    for (size_t index = 0; index < run->tasks.size(); ++index) {
-        wire::TaskResult result;
-        result.taskId = run->job.tasks[index].taskId;
-        result.ran = wire::Ran::YES;
-        result.output = std::move(run->tasks[index].output);
-        run->answer.tasks.push_back(std::move(result));
+    } else {
+        run->answer = makeCompleteAnswer(*run);
     }
     finish(run, now, out);
     answers_.add(run);
@@ -672,13 +379,8 @@
     }
     run->phase = JobPhase::Resolving;
     run->phaseDeadline = now + timing_.resolveTimeout;
-    run->answer = wire::JobAnswer();
-    run->answer.jobId = run->job.jobId;
-    run->answer.httpStatus = StatusOk;
-    run->answer.errorKind = kind;
-    run->answer.errorMessage = message;
-    run->answer.retryAfterMs = FailedRetryAfterMs;
-    requestTaskStates(*run, TaskPhase::Sent, now, out);
+    run->answer = makeFailureAnswer(run->job.jobId, kind, message);
+    reconciler_.requestStates(*run, TaskPhase::Sent, dispatcher_.sequence(), now, out);
     advanceResolving(run, now, out);
 }
 
@@ -687,16 +389,10 @@
     if (run->hasTaskIn(TaskPhase::Sent) && now < run->phaseDeadline) {
         return;
     }
-    run->answer.tasks.clear();
-    for (size_t index = 0; index < run->tasks.size(); ++index) {
-        wire::TaskResult result;
-        result.taskId = run->job.tasks[index].taskId;
-        result.ran = ranStateOf(run->tasks[index].phase);
-        run->answer.tasks.push_back(std::move(result));
-    }
+    run->answer.tasks = makeTaskResults(*run);
     const bool isCancelled = run->answer.errorKind == "cancelled";
     const bool hasUnstarted = run->hasTaskIn(TaskPhase::Waiting);
-    if (!hasUnstarted || (hasNoStartedTask(*run) && !isCancelled)) {
+    if (!hasUnstarted || (run->hasNoStartedTask() && !isCancelled)) {
         finishFailed(run, true, now, out);
         return;
     }
@@ -708,10 +404,10 @@
 
 void JobOwner::finishFailed(const JobRunPtr &run, bool recorded, MonotonicTime now, EntryOutbox &out)
 {
-    if (!recorded || !claims_->hasLease(now)) {
+    if (!recorded || !claims_.hasLease(now)) {
         markNotRunAsUnknown(run->answer);
     }
-    const bool isRefusal = hasNoStartedTask(*run) && run->answer.errorKind != "cancelled";
+    const bool isRefusal = run->hasNoStartedTask() && run->answer.errorKind != "cancelled";
     if (isRefusal) {
         run->answer.httpStatus = StatusUnavailable;
     }
@@ -726,11 +422,9 @@
 
 void JobOwner::finish(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out)
 {
-    run->phase = JobPhase::Ended;
-    run->endedAt = now;
-    active_.erase(run->job.jobId);
+    jobs_.end(*run, now);
     for (const Waiter &waiter : run->waiters) {
-        reply(waiter, run->answer);
+        replies_.add(waiter, run->answer);
     }
     out.log(LogEvent::Level::Info,
             "job_ended",
@@ -743,14 +437,7 @@
 
 void JobOwner::failOverdueJobs(MonotonicTime now, EntryOutbox &out)
 {
-    std::vector<JobRunPtr> overdue;
-    for (const JobRunPtr &run : active_ | std::views::values) {
-        const bool hasPhaseDeadline = run->phase == JobPhase::Resolving || run->phase == JobPhase::Recording;
-        if (hasPhaseDeadline ? now >= run->phaseDeadline : now >= run->deadline - timing_.deadlineMargin) {
-            overdue.push_back(run);
-        }
-    }
-    for (const JobRunPtr &run : overdue) {
+    for (const JobRunPtr &run : jobs_.overdueJobs(now, timing_.deadlineMargin)) {
         if (run->phase == JobPhase::Resolving) {
             advanceResolving(run, now, out);
         } else if (run->phase == JobPhase::Recording) {
@@ -765,47 +452,33 @@
 
 void JobOwner::onStartRecords(const wire::StartRecords &records)
 {
-    if (const auto found = recoveries_.find(records.requestId); found != recoveries_.end()) {
-        found->second.onStartRecords(records);
-    }
+    shards_.onStartRecords(records);
 }
 
 void JobOwner::onTableResult(
     TableCaller caller, int64_t callId, const TableResult &result, MonotonicTime now, EntryOutbox &out)
 {
     if (caller == TableCaller::Recovery) {
-        if (const auto found = recoveries_.find(callId); found != recoveries_.end()) {
-            found->second.onTableResult(result, out);
-        }
-        return;
-    }
-    if (!claims_ || callId != claimGeneration_) {
+        shards_.onTableResult(callId, result, out);
         return;
     }
-    const ClaimOutcome outcome = claims_->onResult(result, now);
+    const ClaimOutcome outcome = claims_.onTableResult(callId, result, now, out);
     if (const auto *committed = std::get_if<ClaimsCommitted>(&outcome)) {
         onClaimed(*committed, now, out);
     } else if (std::holds_alternative<ClaimLogFenced>(outcome)) {
-        out.log(LogEvent::Level::Warning, "owner_fenced", {{"incarnation", incarnation_}});
         dropAllShards(out);
-        fenced_ = true;
     }
 }
 
 void JobOwner::onTick(MonotonicTime now, EntryOutbox &out)
 {
-    for (auto entry = unreachable_.begin(); entry != unreachable_.end();) {
-        if (now - entry->second.since < timing_.lostAgentTimeout) {
-            ++entry;
-            continue;
-        }
-        const auto [name, agent] = *entry;
-        entry = unreachable_.erase(entry);
-        declareAgentLost(name, agent.incarnation, now, out);
+    while (const auto lost = unreachable_.takeLost(now)) {
+        declareAgentLost(*lost, now, out);
     }
     failOverdueJobs(now, out);
     std::ranges::for_each(answers_.expire(now), [&](const std::string &jobId) { jobs_.erase(jobId); });
-    finishRecoveries(now, out);
+    shards_.advanceRecoveries(directory_, now, out);
+    submitDeferred(now, out);
 }
 
 void JobOwner::advance(MonotonicTime now, EntryOutbox &out)
@@ -813,34 +486,7 @@
     if (clusterState_.isFresh(now)) {
         dispatcher_.dispatch(now, out);
     }
-    if (!claims_) {
-        return;
-    }
-    if (auto request = claims_->nextRequest(now)) {
-        out.add(TableCall{TableCaller::Claims, claimGeneration_, std::move(*request)});
-    }
-}
-
-void JobOwner::reply(const Waiter &waiter, const wire::JobAnswer &answer)
-{
-    AddressedReply message;
-    message.link = waiter.link;
-    message.reply.requestId = waiter.requestId;
-    message.reply.answer = answer;
-    replies_.push_back(std::move(message));
-}
-
-void JobOwner::replyWithKind(const Waiter &waiter, const std::string &jobId, wire::AnswerKind::type kind)
-{
-    wire::JobAnswer answer;
-    answer.jobId = jobId;
-    answer.kind = kind;
-    reply(waiter, answer);
-}
-
-std::vector<AddressedReply> JobOwner::takeReplies()
-{
-    return std::exchange(replies_, {});
+    claims_.advance(now, out);
 }
 
 } // namespace marjoramferry
--- a/owner/job_owner.h
+++ b/owner/job_owner.h
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "owner/admission.h"
 #include "owner/agent_directory.h"
 #include "owner/answer_cache.h"
-#include "owner/claim_log.h"
 #include "owner/dispatcher.h"
 #include "owner/entry_command.h"
 #include "owner/job_run.h"
+#include "owner/job_table.h"
+#include "owner/owned_shards.h"
+#include "owner/owner_claims.h"
+#include "owner/owner_quotas.h"
+#include "owner/reply_queue.h"
 #include "owner/run_time_model.h"
-#include "owner/shard_recovery.h"
+#include "owner/submission_check.h"
+#include "owner/task_reconciler.h"
+#include "owner/unreachable_agents.h"
 #include "version/cluster_state_tracker.h"
 
-#include <absl/container/btree_map.h>
-
-#include <map>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -33,20 +33,13 @@
     size_t maxAnswerBytes = 8U << 20U; ///< Above this total size, outputs of the oldest answers are evicted.
 };
 
-/** A reply and the link to send it on; LocalLink addresses the router in this process. */
-struct AddressedReply
-{
-    LinkId link = LocalLink;
-    wire::OwnerReply reply;
-};
-
 /**
  * Manages the jobs of the shards that this entry owns: admission, claims, execution and answers.
  *
  * No task is sent before its job's claim is committed. A task is sent to a second agent only after
  * the first agent has confirmed that it has not started the task and never will.
  */
-class JobOwner : private QuotaSource
+class JobOwner
 {
 public:
     JobOwner(OwnerTiming timing,
@@ -83,31 +76,33 @@
 
     bool ownsAnyShard() const
     {
-        return !shards_.empty();
+        return !shards_.isEmpty();
     }
 
     /** Whether this incarnation lost its fence row since the last call; clears the flag. */
-    bool consumeFencedFlag();
+    bool consumeFencedFlag()
+    {
+        return claims_.consumeFencedFlag();
+    }
 
-    std::vector<AddressedReply> takeReplies();
+    std::vector<AddressedReply> takeReplies()
+    {
+        return replies_.take();
+    }
 
     /** Number of jobs that have not ended. */
     size_t activeJobs() const
     {
-        return active_.size();
+        return jobs_.activeCount();
     }
 
     /** Number of shards still collecting the starts made by earlier owners. */
-    size_t recoveringShards() const;
-
-private:
-    struct ShardState
+    size_t recoveringShards() const
     {
-        int64_t epoch = 0;
-        int64_t recoveryId = 0; ///< Request id of the running recovery; zero when there is none.
-        std::optional<int64_t> drainingSince; ///< Ownership version at which draining began.
-    };
+        return shards_.recoveringCount();
+    }
 
+private:
     struct DeferredRequest
     {
         LinkId link = LocalLink;
@@ -115,29 +110,17 @@
         MonotonicTime deadline;
     };
 
-    struct UnreachableAgent
-    {
-        std::string incarnation;
-        MonotonicTime since;
-    };
-
-    int runningLimit(const std::string &tenant) const override;
-    int ownShareOf(int limit) const;
-
-    void openClaimLog();
-    void startRecoveries(const std::vector<int> &gained, MonotonicTime now);
-    void finishRecoveries(MonotonicTime now, EntryOutbox &out);
-    void dropShard(int shard, EntryOutbox &out);
+    /** Tells the callers of the jobs in a lost shard that they moved, and forgets the jobs. */
+    void dropJobs(int shard, EntryOutbox &out);
     void dropAllShards(EntryOutbox &out);
+    /** Submits the requests whose shards have been recovered. */
+    void submitDeferred(MonotonicTime now, EntryOutbox &out);
 
     void submitExisting(const JobRunPtr &run, const wire::SubmitJob &message, const Waiter &waiter);
     void submitNew(const wire::SubmitJob &message, const Waiter &waiter, MonotonicTime now, EntryOutbox &out);
-    /** Returns the rejection of a submission, or nothing if the job is admitted. */
-    std::optional<wire::JobAnswer> validateSubmission(const wire::SubmitJob &message, MonotonicTime now);
     JobRunPtr createRun(const wire::SubmitJob &message, const Waiter &waiter, MonotonicTime now);
-    /** Applies the starts made under an earlier owner to a resubmitted job. */
-    void adoptStarts(const JobRunPtr &run, const RecoveredJob &recovered, MonotonicTime now, EntryOutbox &out);
-    void adoptStart(const JobRunPtr &run, size_t index, const RecoveredStart &start);
+    /** Continues a resubmitted job that an earlier owner claimed. */
+    void resume(const JobRunPtr &run, const RecoveredJob &recovered, MonotonicTime now, EntryOutbox &out);
     void claim(const JobRun &run, bool ended);
     void onClaimed(const ClaimsCommitted &committed, MonotonicTime now, EntryOutbox &out);
 
@@ -145,14 +128,7 @@
     void
     onTaskEnded(const JobRunPtr &run, int index, const wire::TaskReport &report, MonotonicTime now, EntryOutbox &out);
     void onTaskRefused(const JobRunPtr &run, int index);
-    void
-    declareAgentLost(const std::string &agent, const std::string &incarnation, MonotonicTime now, EntryOutbox &out);
-    /** Asks the agents for the state of the job's tasks that are in @p phase. */
-    void requestTaskStates(const JobRun &run, TaskPhase phase, MonotonicTime now, EntryOutbox &out);
-    void sendResolveTasks(const AgentView &agent,
-                          const JobRun &run,
-                          std::vector<std::string> taskIds,
-                          EntryOutbox &out) const;
+    void declareAgentLost(const AgentIncarnation &agent, MonotonicTime now, EntryOutbox &out);
 
     void complete(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out);
     void fail(const JobRunPtr &run, const char *kind, const std::string &message, MonotonicTime now, EntryOutbox &out);
@@ -161,28 +137,22 @@
     void finishFailed(const JobRunPtr &run, bool recorded, MonotonicTime now, EntryOutbox &out);
     void finish(const JobRunPtr &run, MonotonicTime now, EntryOutbox &out);
     void failOverdueJobs(MonotonicTime now, EntryOutbox &out);
-    void reply(const Waiter &waiter, const wire::JobAnswer &answer);
-    void replyWithKind(const Waiter &waiter, const std::string &jobId, wire::AnswerKind::type kind);
 
     const OwnerTiming timing_;
     const ClusterStateTracker &clusterState_;
     AgentDirectory &directory_;
     AnswerCache answers_;
+    OwnerQuotas quotas_;
     Dispatcher dispatcher_;
     RunTimeModel runTimes_;
-    std::optional<ClaimLog> claims_;
-    int64_t claimGeneration_ = 0; ///< Call id of claims_; results that carry an earlier one are ignored.
-    std::string incarnation_; ///< Incarnation for which claims_ was opened.
-    std::map<int, ShardState> shards_; ///< Owned shards, by index.
-    std::map<int64_t, ShardRecovery> recoveries_;
-    int64_t lastRecoveryId_ = 0;
-    std::map<int, std::map<std::string, RecoveredJob>> recovered_; ///< By shard and job id.
+    SubmissionCheck submissions_;
+    OwnerClaims claims_;
+    OwnedShards shards_;
     std::vector<DeferredRequest> deferred_; ///< Submissions to shards in recovery.
-    absl::btree_map<std::string, JobRunPtr> jobs_; ///< By job id; ended ones too.
-    std::map<std::string, JobRunPtr> active_; ///< Jobs that have not ended, by job id.
-    std::map<std::string, UnreachableAgent> unreachable_; ///< By agent name.
-    bool fenced_ = false;
-    std::vector<AddressedReply> replies_;
+    JobTable jobs_;
+    UnreachableAgents unreachable_;
+    TaskReconciler reconciler_;
+    ReplyQueue replies_;
 };
 
 } // namespace marjoramferry
--- a/owner/job_run.h
+++ b/owner/job_run.h
@@ -77,6 +77,11 @@
         return std::ranges::any_of(tasks, [&](const TaskRun &task) { return task.phase == phase; });
     }
 
+    bool hasNoStartedTask() const
+    {
+        return std::ranges::all_of(tasks, [](const TaskRun &task) { return task.phase == TaskPhase::Waiting; });
+    }
+
     /** The index of a task, or -1. */
     int indexOf(const std::string &taskId) const
     {
--- a/tests/layout/layout_test.py
+++ b/tests/layout/layout_test.py
@@ -36,7 +36,6 @@
 # Files that are still longer than MAX_LINES. Split them; add none.
 LONG_FILES = {
     "owner/entry_core.cpp",
-    "owner/job_owner.cpp",
     "request/work_scheduler.cpp",
     "request/worker_supervisor.cpp",
     "tests/support/virtual_system.cpp",
