Log lines: escape every control character in values

Cause: writeLog escaped quotes and line feeds, but wrote carriage returns, tabs and other control characters as they came, so a value from the network could overwrite or colour a line on a terminal. Change: \r and \t are written as such, other control characters as \xNN, in quotes. Left: lines that connection/ and platform/ write directly through spdlog do not escape their values. Result: the new case was red and passes; the other tests were not run again.

--- a/process/logging.cpp
+++ b/process/logging.cpp
@@ -2,12 +2,13 @@
 
 #include "core/bounded_queue.h"
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_replace.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdio>
 #include <memory>
@@ -20,7 +21,8 @@
 
 bool needsQuotes(const std::string &value)
 {
-    return value.empty() || value.find_first_of(" \"=\n\\") != std::string::npos;
+    return value.empty() || value.find_first_of(" \"=\\") != std::string::npos
+        || std::ranges::any_of(value, absl::ascii_iscntrl);
 }
 
 std::string quoteIfNeeded(const std::string &value)
@@ -28,7 +30,31 @@
     if (!needsQuotes(value)) {
         return value;
     }
-    return absl::StrCat("\"", absl::StrReplaceAll(value, {{"\\", "\\\\"}, {"\"", "\\\""}, {"\n", "\\n"}}), "\"");
+    std::string quoted = "\"";
+    for (const char character : value) {
+        switch (character) {
+        case '"':
+        case '\\':
+            quoted += {'\\', character};
+            break;
+        case '\n':
+            quoted += "\\n";
+            break;
+        case '\r':
+            quoted += "\\r";
+            break;
+        case '\t':
+            quoted += "\\t";
+            break;
+        default:
+            if (absl::ascii_iscntrl(static_cast<unsigned char>(character))) {
+                absl::StrAppend(&quoted, "\\x", absl::Hex(static_cast<unsigned char>(character), absl::kZeroPad2));
+            } else {
+                quoted += character;
+            }
+        }
+    }
+    return quoted + "\"";
 }
 
 constexpr size_t LogQueueCapacity = 20'000;
--- /dev/null
+++ b/tests/process/logging_test.cpp
@@ -0,0 +1,23 @@
+#include "process/logging.h"
+
+#include <catch2/catch.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+#include <spdlog/spdlog.h>
+
+#include <memory>
+#include <sstream>
+
+using namespace marjoramferry;
+
+// Guards against values from the network that forge fields or whole lines of the log.
+TEST_CASE("A log line escapes quotes, line breaks and control characters in values")
+{
+    std::ostringstream out;
+    const auto previous = spdlog::default_logger();
+    const auto sink = std::make_shared<spdlog::sinks::ostream_sink_mt>(out);
+    spdlog::set_default_logger(std::make_shared<spdlog::logger>("test", sink));
+    spdlog::set_pattern("%v");
+    writeLog(LogEvent{LogEvent::Level::Info, "e", {{"a", "x\" b=1\\"}, {"c", "1\n2\r3"}, {"d", "1\t2\x1b[0m"}}});
+    spdlog::set_default_logger(previous);
+    CHECK(out.str() == "event=e a=\"x\\\" b=1\\\\\" c=\"1\\n2\\r3\" d=\"1\\t2\\x1b[0m\"\n");
+}
