--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -139,6 +139,7 @@
         const HttpServer server(
             makeOptions(), [](const HttpRequest &) { return false; }, [](const HttpRequest &) { return std::nullopt; });
     };
+    epollCreations = 0;
     start();
     const int creations = epollCreations;
     REQUIRE(creations > 0);
