--- a/request/crash_tracker.cpp
+++ b/request/crash_tracker.cpp
@@ -15,8 +15,8 @@
 /** Workers that crash within this time of each other are taken to have a common cause, which is no task. */
 constexpr Milliseconds SimultaneousTime{20};
 
-/** The jobs that started last on the worker, so shortly before the crash that they may have caused it. */
-std::set<std::string> findLikelyCauses(const wire::WorkerCrash &crash)
+/** The jobs that started last on the worker. */
+std::set<std::string> findLastStartedJobs(const wire::WorkerCrash &crash)
 {
     std::set<std::string> jobs;
     if (crash.runs.empty()) {
@@ -24,7 +24,7 @@
     }
     const int youngestMs = std::ranges::min_element(crash.runs, {}, &wire::CrashedRun::ageMs)->ageMs;
     for (const wire::CrashedRun &run : crash.runs) {
-        if (run.ageMs == youngestMs && youngestMs <= MaxTimeToCrash.count()) {
+        if (run.ageMs == youngestMs) {
             jobs.insert(run.jobId);
         }
     }
@@ -44,9 +44,9 @@
     }
     Crash recorded{process, now - Milliseconds(crash.agoMs), {}};
     const bool isSimultaneous = clearSimultaneousCauses(recorded.at);
-    const std::set<std::string> likelyCauses = isSimultaneous ? std::set<std::string>() : findLikelyCauses(crash);
+    const std::set<std::string> lastStartedJobs = isSimultaneous ? std::set<std::string>() : findLastStartedJobs(crash);
     std::ranges::transform(crash.runs, std::back_inserter(recorded.tasks), [&](const wire::CrashedRun &run) {
-        const bool isLikelyCause = likelyCauses.contains(run.jobId) && run.ageMs <= MaxTimeToCrash.count();
+        const bool isLikelyCause = lastStartedJobs.contains(run.jobId) && run.ageMs <= MaxTimeToCrash.count();
         return AffectedTask{RunKey{run.jobId, run.stepIndex, run.taskIndex, 0}, isLikelyCause};
     });
     std::ranges::for_each(recorded.tasks, [this](const AffectedTask &affected) { addToCounts(affected, 1); });
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -107,8 +107,7 @@
     }
     const std::string &jobId = destination->jobId;
     if (drainingSince_ && !scheduler_.hasJob(jobId) && !canFinishBeforeShutdown(call.job, *destination->route, now)) {
-        const bool mayHaveRun = scheduler_.mayHaveRunBefore(jobId, now);
-        respond(call.address, mayHaveRun ? ResponseStatus::Interrupted : ResponseStatus::Rejected, "stopping");
+        respond(call.address, scheduler_.refusalStatus(jobId, now), "stopping");
         return;
     }
     scheduler_.submit(call, *destination->route, destination->jobId, now);
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -645,9 +645,11 @@
     enqueueJob(job, now);
 }
 
-bool WorkScheduler::mayHaveRunBefore(const std::string &jobId, MonotonicTime now)
+ResponseStatus WorkScheduler::refusalStatus(const std::string &jobId, MonotonicTime now)
 {
-    return runsByJob_.contains(jobId) || startedJobs_.contains(jobId, now) || containment_.hasCrashedUnder(jobId);
+    const bool mayHaveRun
+        = runsByJob_.contains(jobId) || startedJobs_.contains(jobId, now) || containment_.hasCrashedUnder(jobId);
+    return mayHaveRun ? ResponseStatus::Interrupted : ResponseStatus::Rejected;
 }
 
 void WorkScheduler::finishJob(const std::string &jobId,
@@ -657,13 +659,12 @@
 {
     const Job job = std::move(jobs_.at(jobId));
     jobs_.erase(jobId);
-    // A rejection tells the caller that no task has run.
-    if (status == ResponseStatus::Rejected && (job.hasStarted || mayHaveRunBefore(jobId, now))) {
-        status = ResponseStatus::Interrupted;
-    }
     if (job.hasStarted) {
         startedJobs_.add(jobId, now);
     }
+    if (status == ResponseStatus::Rejected) {
+        status = refusalStatus(jobId, now);
+    }
     if (const auto position = queuePositions_.find(jobId); position != queuePositions_.end()) {
         queue_.erase(position->second);
         queuePositions_.erase(position);
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -63,8 +63,11 @@
     bool cancel(const std::string &jobId, MonotonicTime now);
     bool hasJob(const std::string &jobId) const;
 
-    /** Whether a task of an earlier submission of the job may have run, also at another entry's order. */
-    bool mayHaveRunBefore(const std::string &jobId, MonotonicTime now);
+    /**
+     * The answer to a job of which this submission runs no task. A rejection says that no task has run, so the job is
+     * interrupted if a task of an earlier submission may have run, also at another entry's order.
+     */
+    ResponseStatus refusalStatus(const std::string &jobId, MonotonicTime now);
 
     /** Drops a call whose caller disconnected; stops its job if no other call waits for it. */
     void abandonCall(uint64_t token, MonotonicTime now);
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -292,7 +292,6 @@
     const RunRequest &request = run.request;
     run.startCallId = ++lastCallId_;
     run.fence = fence_;
-    run.sentAt = now;
     startCalls_[run.startCallId] = request.key;
     output_.calls.emplace_back(StartRun{run.startCallId,
                                         target(),
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -130,8 +130,7 @@
         Phase phase = Phase::Starting;
         int64_t startCallId = 0;
         int64_t fence = 0; ///< Fence of the StartRun call.
-        MonotonicTime sentAt;
-        MonotonicTime firstSentAt;
+        MonotonicTime firstSentAt; ///< When the first StartRun call of this attempt was sent.
         std::optional<MonotonicTime>
             unansweredAt; ///< When a StartRun call of this attempt first ended without an answer.
         MonotonicTime confirmedAt; ///< When the worker confirmed the run; polls sent later must list it.
--- a/tests/request/work_entry_test.cpp
+++ b/tests/request/work_entry_test.cpp
@@ -67,7 +67,6 @@
     REQUIRE(isOrdered);
     entry.handle(DrainRequested{}, Start + Milliseconds(20));
     entry.handle(jobCall(2, Milliseconds(4000)), Start + Milliseconds(30));
-    for (const CallResponse &response : responsesOf(entry.flush(Start + Milliseconds(30)))) {
-        CHECK(response.status != ResponseStatus::Rejected);
-    }
+    // The second call waits for the answer of the run, as the first one does.
+    CHECK(responsesOf(entry.flush(Start + Milliseconds(30))).empty());
 }
