--- a/process/ini_file.cpp
+++ b/process/ini_file.cpp
@@ -160,6 +160,18 @@
     return value;
 }
 
+bool IniFile::boolean(const std::string &section, const std::string &key, bool fallback)
+{
+    if (!lookUp(section, key)) {
+        return fallback;
+    }
+    const std::string value = reader_->Get(section, key, "");
+    if (value != "true" && value != "false") {
+        throw Error(ErrorKind::Settings, qualifiedName(section, key), "is not a switch", "use true or false");
+    }
+    return value == "true";
+}
+
 long IniFile::number(const std::string &section, const std::string &key, long fallback, long min, long max)
 {
     if (!lookUp(section, key)) {
--- a/process/ini_file.h
+++ b/process/ini_file.h
@@ -36,6 +36,9 @@
 
     long number(const std::string &section, const std::string &key, long fallback, long min, long max);
 
+    /** Returns a switch, given as "true" or "false". */
+    bool boolean(const std::string &section, const std::string &key, bool fallback);
+
     /** Returns an IP address with a port, e.g. "127.0.0.1:7100". Throws Settings if it is missing. */
     std::string address(const std::string &section, const std::string &key);
 
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -32,6 +32,7 @@
     /** Minimum interval between two activations of workers outside of the subset, and their number each time. */
     Milliseconds activationInterval{20};
     size_t activationBatch = 4;
+    bool offers = false; ///< Reports waiting work to agents.
 };
 
 /** Free capacity of a worker counts as idle after this time without a run that took some of it. */
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -121,4 +121,27 @@
     CHECK_THAT(settingsError(ValidWorkEntry + "max_lease = -1ms\n"), Contains("[platform] max_lease"));
     CHECK_THAT(settingsError(ValidWorkEntry + "[work_entry]\nmax_body = 1.5MiB\n"), Contains("[work_entry] max_body"));
     CHECK_THAT(settingsError(ValidWorkEntry + "max_stop_time = 1.2.3ms\n"), Contains("[platform] max_stop_time"));
+    CHECK_THAT(settingsError(ValidWorkEntry + "[scheduling]\noffers = yes\n"),
+               Contains("[scheduling] offers") && Contains("use true or false"));
+}
+
+// Guards against features that change the behaviour of a deployment whose settings don't name them.
+TEST_CASE("Scheduling features are off unless the settings enable them")
+{
+    const auto entry = [](const std::string &text) { return settingsOf<WorkEntrySettings>(ValidWorkEntry + text); };
+    const auto agent = [](const std::string &text) { return settingsOf<WorkAgentSettings>(ValidWorkAgent + text); };
+    const std::string all = "[scheduling]\nadmission = true\noffers = true\nreservations = true\nworker_speed = true\n";
+    for (const bool isEnabled : {false, true}) {
+        const WorkEntryOptions entryOptions = entry(isEnabled ? all : "").options;
+        CHECK(entryOptions.scheduler.admission == isEnabled);
+        CHECK(entryOptions.scheduler.reservations == isEnabled);
+        CHECK(entryOptions.scheduler.selector.workerSpeed == isEnabled);
+        CHECK(entryOptions.scheduler.selector.offers == isEnabled);
+        CHECK(entryOptions.directory.offers == isEnabled);
+        const std::string agentKeys = "[scheduling]\noffers = true\nreservations = true\nworker_speed = true\n";
+        const WorkAgentOptions agentOptions = agent(isEnabled ? agentKeys : "").options;
+        CHECK(agentOptions.offers == isEnabled);
+        CHECK(agentOptions.reservations == isEnabled);
+        CHECK(agentOptions.workerSpeed == isEnabled);
+    }
 }
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -267,12 +267,26 @@
     6: i64 bornMs = 0,
 }
 
+/** Processor capacity that runs are expected to release by a time. */
+struct CapacityStep {
+    /** Time from the report, in milliseconds. */
+    1: i32 inMs = 0,
+    /** Released since the previous step, in thousandths of a core. */
+    2: i32 cpuMillis = 0,
+}
+
 /** Current load of the worker of an agent. */
 struct WorkerRoom {
     /** Capacity minus the demand of all runs that are waiting, starting, running, stopping or in an unknown state. */
     1: Demand unclaimed,
     /** Accepts new runs: it is synchronized, responds and is not about to leave. */
     2: bool takesRuns = false,
+    /** Processor capacity that runs are expected to release, by ascending time; at most 4 steps. */
+    3: list<CapacityStep> forecast,
+    /** Run time on this worker, in percent of the run time on a reference worker. 0 if it is not known. */
+    4: i32 slowdownPercent = 0,
+    /** Standard error of slowdownPercent, in percent of its value. */
+    5: i32 slowdownErrorPercent = 0,
 }
 
 /** Entry to agent: run one task once. The entry assigns the run numbers. */
@@ -293,6 +307,18 @@
     10: string requestId,
     /** The queue of the job, named again in reports of crashes. */
     11: string queue,
+    /** Expected run time on a reference worker, in milliseconds. 0 if the entry does not estimate it. */
+    12: i32 expectedMs = 0,
+}
+
+/** What waits at an entry for a worker of one service. */
+struct WaitingWork {
+    /** Rank of the most urgent job, as in RunOrder: time until its latest start, in milliseconds. */
+    1: i64 rank = 0,
+    /** Of one task of that job. */
+    2: Demand demand,
+    /** Waiting tasks of jobs that can still be in time. */
+    3: i32 tasks = 0,
 }
 
 /** Entry to agent: stop the run, or drop it if it is waiting. Its end is reported as usual. */
@@ -397,6 +423,8 @@
     13: bool leaving = false,
     /** The entry has no runs at the agent, and orders none before a batch without this. The agent reports seldom. */
     14: bool standby = false,
+    /** Set if tasks wait that the worker of the agent could run. */
+    15: optional WaitingWork waiting,
 }
 
 /** Agent to entry, sent repeatedly; numbered like EntryBatch. */
