--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -31,14 +31,16 @@
 {
 }
 
-void CrashContainment::recordJob(const wire::Route &route, double work, MonotonicTime now)
+void CrashContainment::recordJob(const wire::Route &route, double work, Milliseconds runTime, MonotonicTime now)
 {
-    isolations_.try_emplace(route.serviceName, route.serviceName).first->second.recordJob(route.name, work, now);
+    QueueIsolation &isolation = isolations_.try_emplace(route.serviceName, route.serviceName).first->second;
+    isolation.recordJob(route.name, work, runTime, now);
 }
 
 void CrashContainment::recordStart(const wire::Route &route, MonotonicTime now)
 {
-    if (isIsolated(route)) {
+    const QueueIsolation *isolation = isolationOf(route.serviceName);
+    if (isolation != nullptr && isolation->usesGroup(route.name)) {
         isolations_.at(route.serviceName).recordStartedJob(now);
     }
 }
@@ -87,6 +89,7 @@
              "isolated_queues_changed",
              {{"service", service},
               {"queues", absl::StrJoin(isolation.isolatedQueues(), ",", nameAndScore)},
+              {"warned", absl::StrJoin(isolation.warnedQueues(), ",")},
               {"agents", absl::StrJoin(isolation.group(), ",")},
               {"known_agents", absl::StrCat(directory_.views().size())}});
 }
--- a/request/crash_containment.h
+++ b/request/crash_containment.h
@@ -30,8 +30,8 @@
 public:
     explicit CrashContainment(const WorkerDirectory &directory);
 
-    /** Records a submitted job and the work of its tasks, in thousandths of a core times milliseconds. */
-    void recordJob(const wire::Route &route, double work, MonotonicTime now);
+    /** Records a submitted job, the work of its tasks (thousandths of a core times ms) and their mean run time. */
+    void recordJob(const wire::Route &route, double work, Milliseconds runTime, MonotonicTime now);
 
     /** Records the first start of a task of the job. */
     void recordStart(const wire::Route &route, MonotonicTime now);
--- a/request/crash_suspicion.h
+++ b/request/crash_suspicion.h
@@ -8,23 +8,24 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace marjoramferry {
 
 /**
  * Estimates which queue's tasks crash their workers.
  *
- * A task that crashes its worker usually does so soon after its start. So the queue of the runs that started last
- * before a crash is more likely the cause, the more so the fewer jobs it has, and a queue without a run on the worker
- * is not. Each crash changes the score of a queue by the logarithm of this likelihood, relative to a crash that no
- * task caused. Workers that crash together do so for another reason and count as one crash. A queue with a high score
- * is a suspect until its score has decayed.
+ * A sequential test: each crash changes the score of a queue by the logarithm of the likelihood that one of its tasks
+ * was the cause, relative to a crash that no task caused. A task that crashes its worker does so soon after its start,
+ * while a bystander has any age, and each queue is there as often as its share of the running work says. Crashes that
+ * only repeat say nothing, and workers that crash in the same instant speak against each queue. A queue with a high
+ * score is a suspect until its score has decayed.
  */
 class CrashSuspicion
 {
 public:
-    /** Records a job of the queue, for the queue's share of all jobs. */
-    void recordJob(const std::string &queue, MonotonicTime now);
+    /** Records a job of the queue: its work, on any scale, and the run time of its tasks on average. */
+    void recordJob(const std::string &queue, double work, Milliseconds runTime, MonotonicTime now);
 
     /** @p isForSuspects tells whether the worker takes only tasks of the suspects, or none of them. */
     void recordCrash(const wire::WorkerCrash &crash, bool isForSuspects, MonotonicTime now);
@@ -40,11 +41,29 @@
     double score(const std::string &queue, MonotonicTime now) const;
 
 private:
-    double shareOfJobs(const std::string &queue, MonotonicTime now) const;
+    static constexpr Milliseconds LoadHalfLife{5000};
+
+    /** Decaying sums over the jobs of a queue. */
+    struct Load
+    {
+        DecayingCount jobs{LoadHalfLife};
+        DecayingCount work{LoadHalfLife};
+        DecayingCount runTimeMs{LoadHalfLife};
+    };
+
+    double shareOfWork(const std::string &queue, bool isAmongSuspects, MonotonicTime now) const;
+    double meanRunTimeMs(const std::string &queue, MonotonicTime now) const;
+    double likelihoodRatio(const wire::WorkerCrash &crash,
+                           const std::string &queue,
+                           bool isForSuspects,
+                           MonotonicTime now) const;
     void addSuspect(MonotonicTime now);
 
-    std::map<std::string, DecayingCount> jobs_; ///< By queue.
+    std::map<std::string, Load> loads_; ///< By queue.
     std::map<std::string, DecayingCount> scores_; ///< By queue.
+    std::map<std::string, double> scoresBefore_; ///< By queue, before the latest crashes of one instant.
+    std::set<std::tuple<std::string, int, int>> lostTasks_; ///< Tasks that were on a crashed worker.
+    double shareOfLost_ = 0.05; ///< Average share of them among the runs on crashed workers.
     std::set<std::string> suspects_;
     MonotonicTime lastCrashAt_;
 };
--- a/request/queue_isolation.cpp
+++ b/request/queue_isolation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <vector>
 
 namespace marjoramferry {
@@ -45,16 +46,31 @@
 {
 }
 
-void QueueIsolation::recordJob(const std::string &queue, double work, MonotonicTime now)
+void QueueIsolation::recordJob(const std::string &queue, double work, Milliseconds runTime, MonotonicTime now)
 {
-    suspicion_.recordJob(queue, now);
+    suspicion_.recordJob(queue, work, runTime, now);
+    warnings_.recordJob(queue, now);
     work_[queue] += work;
 }
 
-double QueueIsolation::positionOf(const std::string &agent) const
+std::set<std::string> QueueIsolation::warnedQueues() const
 {
+    std::set<std::string> warned;
+    std::ranges::set_difference(warnings_.queues(), suspicion_.suspects(), std::inserter(warned, warned.end()));
+    return warned;
+}
+
+double QueueIsolation::rankOf(const std::string &queue, const std::string &agent) const
+{
+    if (group_.empty()) {
+        return 0;
+    }
     const auto found = positions_.find(agent);
-    return found == positions_.end() ? 0 : static_cast<double>(found->second) / static_cast<double>(group_.size());
+    const bool isInGroup = found != positions_.end();
+    if (!usesGroup(queue)) {
+        return isInGroup ? 1 : 0;
+    }
+    return isInGroup ? static_cast<double>(found->second) / static_cast<double>(group_.size()) : 1;
 }
 
 void QueueIsolation::recordStartedJob(MonotonicTime now)
@@ -79,10 +95,12 @@
                                  const std::function<bool(const std::string &jobId)> &isOwnJob,
                                  MonotonicTime now)
 {
-    suspicion_.recordCrash(crash, positions_.contains(agent), now);
+    const bool isInGroup = positions_.contains(agent);
+    suspicion_.recordCrash(crash, isInGroup && !suspicion_.suspects().empty(), now);
+    warnings_.recordCrash(crash, isInGroup, now);
     const wire::CrashedRun *last = nullptr;
     for (const wire::CrashedRun &run : crash.runs) {
-        if (isIsolated(run.queue) && (last == nullptr || run.ageMs < last->ageMs)) {
+        if (usesGroup(run.queue) && (last == nullptr || run.ageMs < last->ageMs)) {
             last = &run;
         }
     }
@@ -106,6 +124,7 @@
         return false;
     }
     suspicion_.update(now);
+    warnings_.update(now);
     measureLoad(directory, now);
     updatedAt_ = now;
     group_.clear();
@@ -115,11 +134,14 @@
         knownSince_ = now;
     }
     // An entry that starts selects its group once it knows the workers.
-    if (!suspicion_.suspects().empty() && now - knownSince_ >= SettlingTime) {
+    const bool isGroupNeeded = !suspicion_.suspects().empty() || !warnings_.queues().empty();
+    if (isGroupNeeded && now - knownSince_ >= SettlingTime) {
         selectGroup(eligibleWorkers(directory, operatorState));
     }
-    const bool hasChanged = loggedQueues_ != suspicion_.suspects();
-    loggedQueues_ = suspicion_.suspects();
+    const std::set<std::string> warned = warnedQueues();
+    const bool hasChanged = loggedIsolated_ != suspicion_.suspects() || loggedWarned_ != warned;
+    loggedIsolated_ = suspicion_.suspects();
+    loggedWarned_ = warned;
     return hasChanged;
 }
 
@@ -142,7 +164,7 @@
     double capacity = 0;
     double used = 0;
     double usedByOthers = 0;
-    const double othersShare = 1 - isolatedShareOfWork();
+    const double othersShare = 1 - groupShareOfWork();
     for (const WorkerView *view : directory.activeViews()) {
         if (view->state.serviceName != service_) {
             continue;
@@ -169,15 +191,15 @@
     }
 }
 
-double QueueIsolation::isolatedShareOfWork() const
+double QueueIsolation::groupShareOfWork() const
 {
     double all = 0;
-    double isolated = 0;
+    double grouped = 0;
     for (const auto &[queue, work] : work_) {
         all += work;
-        isolated += isIsolated(queue) ? work : 0;
+        grouped += usesGroup(queue) ? work : 0;
     }
-    return all > 0 ? isolated / all : 0;
+    return all > 0 ? grouped / all : 0;
 }
 
 /** Adds workers to the group as long as the usable ones that are left can carry the other queues. */
@@ -192,12 +214,12 @@
         usableRest += view->reported.takesRuns ? capacityOf(*view) : 0;
     }
     const double neededByOthers = CapacityMargin * othersLoad_ * capacity;
-    const double neededByIsolated = CapacityMargin * load_ * isolatedShareOfWork() * capacity;
+    const double neededByGroup = CapacityMargin * load_ * groupShareOfWork() * capacity;
     double groupCapacity = 0;
     for (const WorkerView *view : workers) {
         const double afterwards = groupCapacity + capacityOf(*view);
         usableRest -= view->reported.takesRuns ? capacityOf(*view) : 0;
-        const bool isNeeded = groupCapacity < neededByIsolated || groupCapacity <= 0;
+        const bool isNeeded = groupCapacity < neededByGroup || groupCapacity <= 0;
         if (afterwards > MaxGroupShare * capacity || (usableRest < neededByOthers && !isNeeded)) {
             return;
         }
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -116,7 +116,8 @@
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
-    containment_.recordJob(route, added.remainingWork, now);
+    containment_.recordJob(
+        route, added.remainingWork, criticalPath / std::max<int64_t>(1, std::ssize(added.steps)), now);
     if (const CrashVerdict verdict = containment_.verdictOnJob(jobId); verdict != CrashVerdict::MayStart) {
         giveUpAfterCrashes(jobId, verdict, now);
         return;
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -67,7 +67,7 @@
         }
         const double localityFactor = hasLabel(state, step.preferredLabel) ? 1.0 : options_.remoteSlowdown;
         const double baseScore = AffinityWeight * view.affinity - runTimes_.slowdown(state.worker) * localityFactor
-            - GroupPositionWeight * (isolation == nullptr ? 0 : isolation->positionOf(view.agent));
+            - GroupPositionWeight * (isolation == nullptr ? 0 : isolation->rankOf(route.name, view.agent));
         candidates.push_back(Candidate{&view, health_.status(state.worker, now), overcommit, baseScore});
     }
     return candidates;
