--- a/request/queue_isolation.h
+++ b/request/queue_isolation.h
@@ -80,7 +80,8 @@
 
     bool mayUse(const std::string &queue, const std::string &agent) const
     {
-        return suspicion_.suspects().empty() || isIsolated(queue) == positions_.contains(agent);
+        const bool isInGroup = positions_.contains(agent);
+        return isInGroup ? usesGroup(queue) : !isIsolated(queue);
     }
 
     /** Whether isolated queues have crashed a worker a short time ago, so that the next crash is likely soon. */
