--- a/tests/request/crash_containment_test.cpp
+++ b/tests/request/crash_containment_test.cpp
@@ -33,7 +33,7 @@
     return crash;
 }
 
-/** Eight idle workers, and a queue "quote" that has crashed the worker of one of them. */
+/** Eight idle workers, and a queue "quote" that has crashed the workers of two of them. */
 struct IsolatedQueueFixture : SchedulerFixture
 {
     MonotonicTime now = Start;
@@ -48,6 +48,7 @@
         }
         submit("deadly", route("quote", 0), 1, 60);
         takeOrders(now);
+        scheduler.handleWorkerCrash("agent-5", crashUnder("other", "quote", "w-0"), now - Milliseconds(300));
         scheduler.handleWorkerCrash("agent-7", crashUnder("deadly", "quote", "w-1"), now);
         if (repeatsCrash) {
             scheduler.handleWorkerCrash("agent-6", crashUnder("deadly", "quote", "w-2"), now + Milliseconds(300));
--- a/tests/request/crash_suspicion_test.cpp
+++ b/tests/request/crash_suspicion_test.cpp
@@ -8,14 +8,15 @@
 
 const MonotonicTime Start{std::chrono::hours(1)};
 
-/** A crash with one run for each queue, in the order of their starts, 10 ms apart. */
+/** A crash with one run of a new job for each queue, in the order of their starts, 10 ms apart. */
 wire::WorkerCrash crashOf(const std::vector<std::string> &queues)
 {
+    static int lastJob = 0;
     wire::WorkerCrash crash;
     crash.worker = "worker";
     for (size_t i = 0; i < queues.size(); ++i) {
         wire::CrashedRun run;
-        run.jobId = "job-" + std::to_string(i);
+        run.jobId = "job-" + std::to_string(++lastJob);
         run.queue = queues[i];
         run.ageMs = static_cast<int>(10 * (queues.size() - i));
         crash.runs.push_back(run);
