Retract the report of a crash when the same process answers again

Cause: a worker that refused a connection counted as crashed at once and for good. If the process answered again, its task kept a likely cause of a crash that did not happen, and a later real crash of the process was not reported. Change: CrashEvidence judges the replies to an agent's calls. A refused connection makes a crash suspected; it is detected when a later call is refused too, the lease expires, or the worker restarts or is replaced, and retracted when the same process lists its runs in answer to a later call. WorkerCrash has a status; CrashLog keeps the latest report of each process; CrashTracker replaces or removes it, and takes no verdict from a suspicion.

--- a/request/crash_containment.cpp
+++ b/request/crash_containment.cpp
@@ -21,7 +21,7 @@
     if (counts.likelyCaused >= MaxLikelyCaused) {
         return CrashVerdict::LikelyCause;
     }
-    return counts.all >= MaxCrashes ? CrashVerdict::CauseUnclear : CrashVerdict::MayStart;
+    return counts.detected >= MaxCrashes ? CrashVerdict::CauseUnclear : CrashVerdict::MayStart;
 }
 
 } // namespace
@@ -48,6 +48,7 @@
                                    const std::function<bool(const std::string &jobId)> &isOwnJob,
                                    MonotonicTime now)
 {
+    const bool isKnown = crashes_.contains(crash);
     if (!crashes_.record(crash, now)) {
         return false;
     }
@@ -58,11 +59,12 @@
              "worker_crash_recorded",
              {{"agent", agent},
               {"worker", crash.worker},
+              {"status", wire::_CrashStatus_VALUES_TO_NAMES.at(crash.status)},
               {"ago_ms", absl::StrCat(crash.agoMs)},
               {"runs", absl::StrCat(crash.runs.size())},
               {"given_up_tasks", absl::StrCat(std::ranges::count_if(crash.runs, isGivenUp))}});
     const auto view = directory_.views().find(agent);
-    if (view != directory_.views().end()) {
+    if (view != directory_.views().end() && !isKnown) {
         const std::string &service = view->second.state.serviceName;
         isolations_.try_emplace(service, service).first->second.recordCrash(agent, crash, isOwnJob, now);
     }
--- a/request/crash_containment.h
+++ b/request/crash_containment.h
@@ -36,7 +36,7 @@
     /** Records the first start of a task of the job. */
     void recordStart(const wire::Route &route, MonotonicTime now);
 
-    /** Records a crash of the agent's worker; returns false if it was recorded before. */
+    /** Records a report of a crash of the agent's worker; returns false if it says nothing new. */
     bool recordCrash(const std::string &agent,
                      const wire::WorkerCrash &crash,
                      const std::function<bool(const std::string &jobId)> &isOwnJob,
--- a/request/crash_log.cpp
+++ b/request/crash_log.cpp
@@ -14,6 +14,7 @@
     report.worker = crash.worker.id;
     report.bornMs = crash.worker.startTimeMs;
     report.agoMs = millisecondsBetween(crash.at, now);
+    report.status = crash.status;
     std::ranges::transform(crash.runs, std::back_inserter(report.runs), [](const CrashedRun &run) {
         wire::CrashedRun result;
         result.jobId = run.key.jobId;
@@ -30,6 +31,7 @@
 
 void CrashLog::add(WorkerCrash crash, MonotonicTime now)
 {
+    std::erase_if(crashes_, [&](const auto &each) { return each.second.worker == crash.worker; });
     crashes_.emplace_back(++lastNumber_, std::move(crash));
     while (crashes_.size() > MaxCrashes || now - crashes_.front().second.at > CrashRetentionTime) {
         crashes_.pop_front();
--- a/request/crash_log.h
+++ b/request/crash_log.h
@@ -31,23 +31,25 @@
     WorkerIdentity worker;
     MonotonicTime at;
     std::vector<CrashedRun> runs;
+    wire::CrashStatus::type status = wire::CrashStatus::DETECTED;
 
     bool operator==(const WorkerCrash &) const = default;
 };
 
-/** The latest crashes of the agent's worker, numbered from 1, for entries that have not received them. */
+/** The latest reports of crashes of the agent's worker, numbered from 1, for entries that have not received them. */
 class CrashLog
 {
 public:
+    /** Adds a report, which replaces the last one of the same process. */
     void add(WorkerCrash crash, MonotonicTime now);
 
-    /** The number of the newest crash, 0 if there was none. */
+    /** The number of the newest report, 0 if there was none. */
     int64_t lastNumber() const
     {
         return lastNumber_;
     }
 
-    /** The crashes with a higher number than @p number that are still kept. */
+    /** The reports with a higher number than @p number that are still kept. */
     std::vector<wire::WorkerCrash> reportsAfter(int64_t number, MonotonicTime now) const;
 
 private:
--- a/request/crash_tracker.h
+++ b/request/crash_tracker.h
@@ -19,18 +19,25 @@
 struct CrashCounts
 {
     int all = 0;
+    int detected = 0; ///< Those that are not only suspected.
     int likelyCaused = 0; ///< Those shortly before which the task's job was the last to start on the worker.
 
     bool operator==(const CrashCounts &) const = default;
 };
 
-/** Counts under how many crashes of workers each task was running, for all entries' jobs. */
+/**
+ * Counts under how many crashes of workers each task was running, for all entries' jobs. A suspected crash has no
+ * likely cause, and a retracted one no longer counts.
+ */
 class CrashTracker
 {
 public:
-    /** Records a crash that an agent reported; returns false if it was recorded before. */
+    /** Records a report of an agent; returns false if it says nothing new. */
     bool record(const wire::WorkerCrash &crash, MonotonicTime now);
 
+    /** Whether a crash of the process is recorded. */
+    bool contains(const wire::WorkerCrash &crash) const;
+
     CrashCounts countsOf(const std::string &jobId, int step, int task) const;
 
     /** The highest of each count among the tasks of the job. */
@@ -42,18 +49,26 @@
     struct AffectedTask
     {
         RunKey task; ///< With attempt 0.
-        bool isLikelyCause = false;
+        int ageMs = 0;
+        bool mayBeCause = false; ///< Its job was the last to start on the worker, shortly before the crash.
+
+        bool operator==(const AffectedTask &) const = default;
     };
 
     struct Crash
     {
         Process process;
         MonotonicTime at;
+        bool isDetected = false;
         std::vector<AffectedTask> tasks;
+        int simultaneous = 0; ///< Other crashes at the same time.
     };
 
-    bool clearSimultaneousCauses(MonotonicTime at);
-    void addToCounts(const AffectedTask &affected, int change);
+    static Crash makeCrash(const wire::WorkerCrash &report, MonotonicTime now);
+    void add(Crash crash);
+    void remove(const Process &process);
+    void addToSimultaneous(const Crash &crash, int change);
+    void addToCounts(const Crash &crash, int change);
     void forgetOldest();
 
     std::deque<Crash> crashes_;
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -20,6 +20,20 @@
 constexpr Milliseconds OperatorRequestInterval{300};
 /** Remaining runs are stopped this long before the process exits, so that their ends still reach the entries. */
 constexpr Milliseconds StopRunsBeforeExit{500};
+
+/** The name of the status of a crash in metrics. */
+const char *nameOf(wire::CrashStatus::type status)
+{
+    switch (status) {
+    case wire::CrashStatus::DETECTED:
+        return "crashed";
+    case wire::CrashStatus::SUSPECTED:
+        return "suspected";
+    case wire::CrashStatus::RETRACTED:
+        return "retracted";
+    }
+    return "unknown";
+}
 /** Share of the worker's capacity below which another order may not fit. */
 constexpr double LowCapacityShare = 0.2;
 
@@ -69,7 +83,7 @@
 {
     WorkerSupervisor::Output output = supervisor_.takeOutput();
     for (WorkerCrash &crash : output.crashes) {
-        commands_.emplace_back(Observation{"worker_crashes", "", "crashed", 0});
+        commands_.emplace_back(Observation{"worker_crashes", "", nameOf(crash.status), 0});
         crashLog_.add(std::move(crash), now);
     }
     for (const EndedRun &ended : output.ends) {
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -24,29 +24,6 @@
 
 } // namespace
 
-const char *rejectionName(Rejection rejection)
-{
-    switch (rejection) {
-    case Rejection::None:
-        return "none";
-    case Rejection::StaleFence:
-        return "stale_fence";
-    case Rejection::OldAttempt:
-        return "old_attempt";
-    case Rejection::LeaseExpired:
-        return "lease_over";
-    case Rejection::InsufficientCapacity:
-        return "no_room";
-    case Rejection::OtherIncarnation:
-        return "other_incarnation";
-    case Rejection::Unhealthy:
-        return "unhealthy";
-    case Rejection::Malformed:
-        return "malformed";
-    }
-    return "unknown";
-}
-
 WorkerSupervisor::WorkerSupervisor(WorkerTiming timing, int64_t fence)
     : timing_(timing)
     , lease_(timing.leaseDuration)
@@ -69,8 +46,7 @@
         return;
     }
     if (announcement.identity.id != worker_->identity.id) {
-        reportCrash("worker_replaced", now);
-        dropAllRuns("worker_replaced", now);
+        handleReplacement(now);
         adoptWorker(announcement, now);
         return;
     }
@@ -103,9 +79,9 @@
         {{"worker", worker_->identity.id},
          {"start_time_ms", absl::StrCat(startTimeMs)},
          {"runs", absl::StrCat(runs_.size())}});
-    reportCrash("worker_restarted", now);
-    isCrashReported_ = false;
+    reportCrash(wire::CrashStatus::DETECTED, "worker_restarted", now);
     worker_->identity.startTimeMs = startTimeMs;
+    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
     worker_->sequence = 0;
     restartDetectedAt_ = now;
     lastAnnouncementAt_ = now;
@@ -119,10 +95,20 @@
     isReconciled_ = false;
 }
 
+/** Handles that another worker has the address of this one. */
+void WorkerSupervisor::handleReplacement(MonotonicTime now)
+{
+    if (worker_) {
+        reportCrash(wire::CrashStatus::DETECTED, "worker_replaced", now);
+    }
+    dropAllRuns("worker_replaced", now);
+    isReconciled_ = false;
+}
+
 void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     worker_ = announcement;
-    isCrashReported_ = false;
+    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
     lease_.reset();
@@ -149,6 +135,7 @@
         return;
     }
     log(LogEvent::Level::Info, "worker_left", {{"worker", departure.id}});
+    retractCrash("worker_left");
     dropAllRuns("worker_left", now);
     worker_.reset();
     isReconciled_ = false;
@@ -158,14 +145,14 @@
  * Reports the runs under which the worker crashed: those it confirmed, and those whose start broke off. Draws no
  * conclusion on when they end.
  */
-void WorkerSupervisor::reportCrash(const std::string &evidence, MonotonicTime now)
+void WorkerSupervisor::reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now)
 {
-    if (isCrashReported_ || worker_->leaving) {
+    if (!crashEvidence_.isNews(status) || worker_->leaving) {
         return;
     }
     // The crash is noticed only when a new connection is refused, or when the worker is back.
-    const MonotonicTime crashedAt = unansweredSince_.value_or(now);
-    WorkerCrash crash{worker_->identity, crashedAt, {}};
+    const MonotonicTime crashedAt = crashEvidence_.crashTime(now);
+    WorkerCrash crash{worker_->identity, crashedAt, {}, status};
     for (const auto &[key, run] : runs_) {
         if (run.isConfirmed || run.unansweredAt) {
             const MonotonicTime startedAt = run.isConfirmed ? run.confirmedAt : run.firstSentAt;
@@ -176,10 +163,10 @@
     if (crash.runs.empty()) {
         return;
     }
-    isCrashReported_ = true;
+    crashEvidence_.recordReport(status, crashedAt, lastCallId_);
     const auto youngest = std::ranges::min_element(crash.runs, {}, &CrashedRun::ageMs);
     log(LogEvent::Level::Warning,
-        "worker_crashed",
+        status == wire::CrashStatus::DETECTED ? "worker_crashed" : "worker_crash_suspected",
         {{"worker", crash.worker.id},
          {"evidence", evidence},
          {"runs", absl::StrCat(crash.runs.size())},
@@ -189,6 +176,17 @@
     output_.crashes.push_back(std::move(crash));
 }
 
+/** Takes back the report of a crash of the current process. */
+void WorkerSupervisor::retractCrash(const std::string &evidence)
+{
+    if (const auto crashedAt = crashEvidence_.retract()) {
+        log(LogEvent::Level::Warning,
+            "worker_crash_retracted",
+            {{"worker", worker_->identity.id}, {"evidence", evidence}});
+        output_.crashes.push_back(WorkerCrash{worker_->identity, *crashedAt, {}, wire::CrashStatus::RETRACTED});
+    }
+}
+
 void WorkerSupervisor::dropAllRuns(const std::string &reason, MonotonicTime now)
 {
     while (!runs_.empty()) {
@@ -319,13 +317,12 @@
     if (reply.clockMs) {
         lease_.observeClock(*reply.clockMs, now);
     }
-    if (reply.outcome == CallOutcome::Accepted || reply.outcome == CallOutcome::Rejected) {
-        unansweredSince_.reset();
-    } else if (!unansweredSince_) {
-        unansweredSince_ = now;
+    crashEvidence_.recordReply(reply, lastCallId_, now);
+    if (const auto status = crashEvidence_.statusOnRefusal(reply); status && worker_) {
+        reportCrash(*status, "connection_refused", now);
     }
-    if (reply.isRefused && worker_) {
-        reportCrash("connection_refused", now);
+    if (crashEvidence_.isDisprovedBy(reply) && worker_) {
+        retractCrash("process_answered");
     }
     if (const auto start = startCalls_.find(reply.callId); start != startCalls_.end()) {
         const RunKey key = start->second;
@@ -410,8 +407,7 @@
     }
     finishRun(key, wire::RunOutcome::NOT_STARTED, rejectionName(reply.rejection), now);
     if (reply.rejection == Rejection::OtherIncarnation) {
-        dropAllRuns("worker_replaced", now);
-        isReconciled_ = false;
+        handleReplacement(now);
     }
 }
 
@@ -447,8 +443,7 @@
             raiseFence(fence_ + FenceIncrement);
             sendPoll(Milliseconds(0), false, now);
         } else if (reply.rejection == Rejection::OtherIncarnation) {
-            dropAllRuns("worker_replaced", now);
-            isReconciled_ = false;
+            handleReplacement(now);
         }
         return;
     }
@@ -638,7 +633,10 @@
             {{"worker", worker_->identity.id},
              {"runs", absl::StrCat(runs_.size())},
              {"silent_ms", absl::StrCat(millisecondsBetween(lastReplyAt_, now))}});
-        dropAllRuns(isCrashReported_ ? "worker_crashed" : "lease_lapsed", now);
+        if (crashEvidence_.hasRefused()) {
+            reportCrash(wire::CrashStatus::DETECTED, "lease_lapsed", now);
+        }
+        dropAllRuns(crashEvidence_.isDetected() ? "worker_crashed" : "lease_lapsed", now);
         raiseFence(fence_ + 1);
         requiredFence_ = fence_;
         isReconciled_ = false;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "event/log_event.h"
+#include "request/crash_evidence.h"
 #include "request/crash_log.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
@@ -150,9 +151,11 @@
     };
 
     void adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void handleReplacement(MonotonicTime now);
     void handleRestart(int64_t startTimeMs, MonotonicTime now);
     void dropAllRuns(const std::string &reason, MonotonicTime now);
-    void reportCrash(const std::string &evidence, MonotonicTime now);
+    void reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now);
+    void retractCrash(const std::string &evidence);
     void startQueuedRuns(MonotonicTime now);
     void rejectOverdueRuns(MonotonicTime now);
     void startRun(RunRequest request, MonotonicTime now);
@@ -180,11 +183,10 @@
 
     const WorkerTiming timing_;
     std::optional<WorkerAnnouncement> worker_;
-    bool isCrashReported_ = false; ///< Of the current process of the worker.
+    CrashEvidence crashEvidence_; ///< About the current process of the worker.
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
     MonotonicTime lastAnnouncementAt_;
     MonotonicTime lastReplyAt_;
-    std::optional<MonotonicTime> unansweredSince_; ///< When the first call after the last answer ended without one.
     WorkerLease lease_;
     int64_t fence_;
     int64_t requiredFence_ = 0; ///< Once the worker accepts this fence, no older start can take effect.
--- a/tests/request/crash_log_test.cpp
+++ b/tests/request/crash_log_test.cpp
@@ -45,3 +45,18 @@
     CHECK(log.reportsAfter(0, Start + Milliseconds(100)).size() == 32);
     CHECK(log.reportsAfter(0, Start + Milliseconds(60'200)).empty());
 }
+
+// Guards against an entry that learns of a crash over a new connection after it was retracted.
+TEST_CASE("A later report of a process replaces the earlier one")
+{
+    CrashLog log;
+    log.add(crashOf(1, Start), Start);
+    log.add(crashOf(2, Start + Milliseconds(500)), Start + Milliseconds(500));
+    log.add(WorkerCrash{{"worker", 1}, Start, {}, wire::CrashStatus::RETRACTED}, Start + Milliseconds(600));
+    CHECK(log.lastNumber() == 3);
+    const auto reports = log.reportsAfter(0, Start + Milliseconds(600));
+    REQUIRE(reports.size() == 2);
+    CHECK(reports[1].bornMs == 1);
+    CHECK(reports[1].agoMs == 600);
+    CHECK(reports[1].status == wire::CrashStatus::RETRACTED);
+}
--- a/tests/request/crash_tracker_test.cpp
+++ b/tests/request/crash_tracker_test.cpp
@@ -85,3 +85,29 @@
     }
     CHECK(tracker.countsOf("job-0", 0, 0).likelyCaused < 2);
 }
+
+// Guards against verdicts on tasks of crashes that did not happen.
+TEST_CASE("A suspected crash has no likely cause, and a retracted one leaves no trace")
+{
+    CrashTracker tracker;
+    wire::WorkerCrash crash = crashOf("a", {0});
+    const auto reportAs = [&](wire::CrashStatus::type status, int64_t ms) {
+        crash.status = status;
+        crash.agoMs = static_cast<int>(ms);
+        return tracker.record(crash, Start + Milliseconds(ms));
+    };
+    REQUIRE(reportAs(wire::CrashStatus::SUSPECTED, 0));
+    CHECK(tracker.countsOf("job", 0, 0) == CrashCounts{1, 0, 0});
+    REQUIRE(reportAs(wire::CrashStatus::DETECTED, 100));
+    CHECK_FALSE(reportAs(wire::CrashStatus::SUSPECTED, 150));
+    CHECK(tracker.countsOf("job", 0, 0) == CrashCounts{1, 1, 1});
+    // The tasks of a simultaneous crash are no likely causes only as long as that crash is not disproved.
+    REQUIRE(tracker.record(crashOf("b", {1}), Start + Milliseconds(10)));
+    CHECK(tracker.countsOf("job", 0, 1) == CrashCounts{1, 1, 0});
+    REQUIRE(reportAs(wire::CrashStatus::RETRACTED, 200));
+    CHECK_FALSE(reportAs(wire::CrashStatus::RETRACTED, 210));
+    CHECK(tracker.countsOf("job", 0, 0) == CrashCounts());
+    CHECK(tracker.countsOf("job", 0, 1) == CrashCounts{1, 1, 1});
+    REQUIRE(reportAs(wire::CrashStatus::DETECTED, 5000));
+    CHECK(tracker.countsOf("job", 0, 0).all == 1);
+}
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -361,7 +361,17 @@
     5: i32 ageMs = 0,
 }
 
-/** Agent to all entries: its worker crashed while runs were on it. */
+/** How sure an agent is that its worker crashed. */
+enum CrashStatus {
+    /** The worker restarted, was replaced, or neither answered nor accepted connections for a while. */
+    DETECTED = 0,
+    /** It refused a connection, and no call has been sent to it since. */
+    SUSPECTED = 1,
+    /** The same process has answered since. The report has no runs. */
+    RETRACTED = 2,
+}
+
+/** Agent to all entries: its worker crashed while runs were on it. A later report of the same process replaces it. */
 struct WorkerCrash {
     1: string worker,
     /** Start time of the crashed process in Unix milliseconds. */
@@ -369,6 +379,8 @@
     /** Time since the crash, in milliseconds. */
     3: i32 agoMs = 0,
     4: list<CrashedRun> runs,
+    /** Older agents report each crash as detected. */
+    5: CrashStatus status = CrashStatus.DETECTED,
 }
 
 /** One queue of jobs: the requests that match it, and its service level. */
