Add marjoramferry explain: where a job would be placed now, and why

Cause: an operator could see where a job went, but not where one would go, and why not elsewhere. Change: GET /v1/explain at the metrics listener of a work entry, and the command explain of the tool, as text or JSON. The I/O thread passes ExplainPlacement to the core, which answers with PlacementExplained.

--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "platform/job_api.h"
+#include "process/explain_api.h"
 #include "process/logging.h"
 #include "process/metrics_handler.h"
 
@@ -51,6 +52,13 @@
     return options;
 }
 
+HttpServerOptions makeMetricsServerOptions(const std::string &address)
+{
+    HttpServerOptions options = makeHttpOptions(address);
+    options.includeQuery = true;
+    return options;
+}
+
 } // namespace
 
 WorkEntryProcess::WorkEntryProcess(const WorkEntrySettings &settings)
@@ -78,9 +86,13 @@
           [](const HttpRequest &) { return false; },
           [this](const HttpRequest &request) { return handleReadinessRequest(request); })
     , metricsServer_(
-          makeHttpOptions(settings.metricsListen),
-          [](const HttpRequest &) { return false; },
-          [this](const HttpRequest &request) { return handleMetricsRequest(request, metrics_, links_.traffic()); })
+          makeMetricsServerOptions(settings.metricsListen),
+          [this](const HttpRequest &request) { return handleExplainRequest(request); },
+          [this](const HttpRequest &request) {
+              return isExplainRequest(request)
+                  ? std::nullopt
+                  : std::optional(handleMetricsRequest(request, metrics_, links_.traffic()));
+          })
 {
     entryRegistry_.registerEntry(settings.options.name, settings.options.linkAddress);
 }
@@ -103,6 +115,16 @@
                       *std::make_unique<platform::JobCall>(platform::parseJobCall(request)));
 }
 
+bool WorkEntryProcess::handleExplainRequest(const HttpRequest &request)
+{
+    auto call = parseExplainRequest(request);
+    if (auto *query = std::get_if<ExplainPlacement>(&call)) {
+        return !isFinished_ && events_.tryPush(std::move(*query));
+    }
+    metricsServer_.reply(std::get<HttpResponse>(call));
+    return true;
+}
+
 HttpResponse WorkEntryProcess::handleReadinessRequest(const HttpRequest &request) const
 {
     const bool isReady = platform::isReadinessCheck(request) && isReady_;
@@ -180,6 +202,7 @@
                    [&](SendToLink &send) { links_.sendToLink(send.link, std::move(send.message)); },
                    [&](SendToPeer &send) { links_.sendToPeer(std::move(send.address), std::move(send.message)); },
                    [&](const CallResponse &response) { jobServer_.reply(platform::toHttpResponse(response)); },
+                   [&](const PlacementExplained &answer) { metricsServer_.reply(toHttpResponse(answer)); },
                    [&](const LogEvent &event) { writeLog(event); },
                    [&](const Observation &observation) { metrics_.observe(observation); },
                    [&](const Stop &) { isStopRequested_ = true; },
--- a/process/work_entry_process.h
+++ b/process/work_entry_process.h
@@ -42,6 +42,7 @@
     void rejectRemaining();
     void rejectCall(uint64_t token);
     bool handleJobRequest(const HttpRequest &request);
+    bool handleExplainRequest(const HttpRequest &request);
     HttpResponse handleReadinessRequest(const HttpRequest &request) const;
 
     BoundedQueue<WorkEntryEvent> events_;
--- a/programs/command_line_tool.cpp
+++ b/programs/command_line_tool.cpp
@@ -6,6 +6,8 @@
 #include "version/json_fields.h"
 #include "version/release_note.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
 #include <boost/program_options.hpp>
 
 #include <fstream>
@@ -35,6 +37,10 @@
         "  note show               show the release note in force\n"
         "  domain out|in NAME      take a failure domain out of service, or return it\n"
         "  status                  show entries, agents and queues\n"
+        "  explain KEY=VALUE ...   show where a job would be placed now, and why; --entry is the metrics listener of "
+        "a\n"
+        "                          work entry; keys: queue, tasks, cpu (thousandths of a core), memory (MB),\n"
+        "                          estimate_ms, timeout_ms\n"
         "Options");
     description.add_options()(
         "entry", options::value<std::string>()->default_value("127.0.0.1:8080"), "host:port of an entry")(
@@ -142,6 +148,38 @@
     return static_cast<int>(exitCodeFor(result, body));
 }
 
+/** Encodes a value of a URL's query. */
+std::string encodeQueryValue(const std::string &value)
+{
+    std::string encoded;
+    for (const char each : value) {
+        if (absl::ascii_isalnum(static_cast<unsigned char>(each)) || each == '-' || each == '_' || each == '.') {
+            encoded += each;
+        } else {
+            absl::StrAppend(&encoded, "%", absl::Hex(static_cast<unsigned char>(each), absl::kZeroPad2));
+        }
+    }
+    return encoded;
+}
+
+/** The path of an explain request for arguments of the form KEY=VALUE. */
+std::string buildExplainPath(const std::vector<std::string> &command)
+{
+    std::string path = "/v1/explain";
+    for (size_t i = 1; i < command.size(); ++i) {
+        const size_t separator = command[i].find('=');
+        if (separator == std::string::npos) {
+            throw UsageError("explain takes KEY=VALUE, not " + command[i] + "; see marjoramferry --help");
+        }
+        absl::StrAppend(&path,
+                        i == 1 ? "?" : "&",
+                        encodeQueryValue(command[i].substr(0, separator)),
+                        "=",
+                        encodeQueryValue(command[i].substr(separator + 1)));
+    }
+    return path;
+}
+
 /** The HTTP request of a command. */
 struct CommandRequest
 {
@@ -162,6 +200,9 @@
     if (argument(0) == "status" && command.size() == 1) {
         return {"GET", "/v1/status", ""};
     }
+    if (argument(0) == "explain") {
+        return {"GET", buildExplainPath(command), ""};
+    }
     if (name == "note show" && command.size() == 2) {
         return {"GET", "/v1/notes/current", ""};
     }
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -33,6 +33,7 @@
                    [&](const SubmitWork &each) { onSubmit(each, now); },
                    [&](const QueryWork &each) { onQuery(each); },
                    [&](const CancelWork &each) { onCancel(each, now); },
+                   [&](const ExplainPlacement &each) { onExplain(each, now); },
                    [&](const CallAbandoned &each) { scheduler_.abandonCall(each.token, now); },
                    [&](const LinkMessage &each) { onLinkMessage(each, now); },
                    [&](const LinkClosed &each) { directory_.handleLinkClosed(each.link); },
@@ -148,6 +149,31 @@
     respond(call.address, wasCancelled ? ResponseStatus::Cancelled : ResponseStatus::UnknownJob, "");
 }
 
+void WorkEntry::onExplain(const ExplainPlacement &call, MonotonicTime now)
+{
+    const auto &routes = operatorState_.state().routes;
+    const auto route = std::ranges::find(routes, call.query.queue, &wire::Route::name);
+    if (route == routes.end()) {
+        out_.emplace_back(PlacementExplained{call.token, std::nullopt});
+        return;
+    }
+    WorkStep step;
+    step.count = call.query.tasks;
+    step.demand = call.query.demand;
+    step.estimate = call.query.estimate;
+    SubmitWork submission;
+    submission.timeout = call.query.timeout;
+    submission.job.steps = {std::move(step)};
+    PlacementExplanation explanation = scheduler_.explain(submission, *route, operatorState_, now);
+    explanation.queue = route->name;
+    explanation.service = route->serviceName;
+    explanation.priority = route->priority;
+    if (drainingSince_ && !canFinishBeforeShutdown(submission.job, *route, now)) {
+        explanation.rejection = "stopping";
+    }
+    out_.emplace_back(PlacementExplained{call.token, std::move(explanation)});
+}
+
 void WorkEntry::respond(const CallAddress &address, ResponseStatus status, const std::string &reason)
 {
     CallResponse response;
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -5,6 +5,7 @@
 #include "event/log_event.h"
 #include "event/process_event.h"
 #include "request/operator_state_cache.h"
+#include "request/placement_explanation.h"
 #include "request/work_scheduler.h"
 #include "request/work_types.h"
 #include "request/worker_directory.h"
@@ -51,6 +52,7 @@
                                     SubmitWork,
                                     QueryWork,
                                     CancelWork,
+                                    ExplainPlacement,
                                     CallAbandoned,
                                     LinkMessage,
                                     LinkClosed,
@@ -59,7 +61,8 @@
                                     StoreReadFailed,
                                     DrainRequested>;
 
-using WorkEntryCommand = std::variant<SendToLink, SendToPeer, CallResponse, LogEvent, Observation, Stop>;
+using WorkEntryCommand
+    = std::variant<SendToLink, SendToPeer, CallResponse, PlacementExplained, LogEvent, Observation, Stop>;
 
 /**
  * Decision logic of an entry whose tasks share workers: dispatches calls and messages to the scheduler and the worker
@@ -96,6 +99,7 @@
     bool canFinishBeforeShutdown(const WorkJob &job, const wire::Route &route, MonotonicTime now) const;
     void onQuery(const QueryWork &call);
     void onCancel(const CancelWork &call, MonotonicTime now);
+    void onExplain(const ExplainPlacement &call, MonotonicTime now);
     void onLinkMessage(const LinkMessage &event, MonotonicTime now);
     void onTick(MonotonicTime now);
     void onDrain(MonotonicTime now);
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -28,22 +28,6 @@
 /** Upper bound of the budget for retries of overdue tasks. */
 constexpr double MaxRetryBudget = 20;
 
-/** Length of the critical path through the steps, given the expected run time of each. */
-Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes)
-{
-    std::vector<Milliseconds> ends(steps.size());
-    Milliseconds longest{0};
-    for (size_t i = 0; i < steps.size(); ++i) {
-        Milliseconds start{0};
-        for (const int dependency : steps[i].dependencies) {
-            start = std::max(start, ends[static_cast<size_t>(dependency)]);
-        }
-        ends[i] = start + runTimes[i];
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
 } // namespace
 
 WorkScheduler::WorkScheduler(WorkSchedulerOptions options, WorkerDirectory &directory)
@@ -64,21 +48,14 @@
     return criticalPathLength(job.steps, runTimes);
 }
 
-void WorkScheduler::submit(const SubmitWork &call,
-                           const wire::Route &route,
-                           const std::string &jobId,
-                           MonotonicTime now)
+WorkScheduler::Job WorkScheduler::makeJob(const SubmitWork &call,
+                                          const wire::Route &route,
+                                          const std::string &jobId,
+                                          MonotonicTime now) const
 {
-    jobsByToken_[call.address.token] = jobId;
-    if (const auto found = jobs_.find(jobId); found != jobs_.end()) {
-        found->second.tokens.push_back(call.address.token);
-        out_.log(LogEvent::Level::Info, "job_joined", {{"request", call.address.requestId}, {"job", jobId}});
-        return;
-    }
     Job job;
     job.id = jobId;
     job.requestId = call.address.requestId;
-    job.submission = ++lastSubmission_;
     job.tokens = {call.address.token};
     job.route = route;
     job.spec = call.job.spec;
@@ -105,14 +82,30 @@
     job.deadlineAt = now + timeout;
     job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
                             job.deadlineAt - ResponseMargin - criticalPath);
+    return job;
+}
+
+void WorkScheduler::submit(const SubmitWork &call,
+                           const wire::Route &route,
+                           const std::string &jobId,
+                           MonotonicTime now)
+{
+    jobsByToken_[call.address.token] = jobId;
+    if (const auto found = jobs_.find(jobId); found != jobs_.end()) {
+        found->second.tokens.push_back(call.address.token);
+        out_.log(LogEvent::Level::Info, "job_joined", {{"request", call.address.requestId}, {"job", jobId}});
+        return;
+    }
+    Job job = makeJob(call, route, jobId, now);
+    job.submission = ++lastSubmission_;
     out_.log(LogEvent::Level::Info,
              "job_accepted",
              {{"request", job.requestId},
               {"job", jobId},
               {"queue", route.name},
               {"tasks", absl::StrCat(job.remainingTasks)},
-              {"expected_ms", absl::StrCat(criticalPath.count())},
-              {"deadline_ms", absl::StrCat(timeout.count())},
+              {"expected_ms", absl::StrCat(expectedJobRunTime(call.job, route).count())},
+              {"deadline_ms", absl::StrCat(millisecondsBetween(now, job.deadlineAt))},
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
@@ -190,11 +183,6 @@
     queue_.insert(position);
 }
 
-bool WorkScheduler::hasJob(const std::string &jobId) const
-{
-    return jobs_.contains(jobId);
-}
-
 int WorkScheduler::countPendingJobs(const std::string &queue) const
 {
     return static_cast<int>(std::ranges::count_if(
@@ -240,6 +228,36 @@
     dispatchTasks(operatorState, now);
 }
 
+PlacementExplanation WorkScheduler::explain(const SubmitWork &call,
+                                            const wire::Route &route,
+                                            const OperatorStateCache &operatorState,
+                                            MonotonicTime now) const
+{
+    Job job = makeJob(call, route, "", now);
+    const bool isAdmitted = admitJob(job, now);
+    const QueuePosition position = queuePositionOf(job, now);
+    PlacementExplanation result;
+    result.expectedRunTime = expectedJobRunTime(call.job, route);
+    result.expectedWait = drainRate_ > 0 ? expectedWait(position) : Milliseconds(0);
+    result.isExpectedLate = position.isLate;
+    result.waitingJobs = queue_.size();
+    result.isIsolated = containment_.isIsolated(route);
+    if (containment_.isWithoutHope(route, job.latestStartAt, now)) {
+        result.rejection = "isolated_workers_down";
+    } else if (!isAdmitted) {
+        result.rejection = "overload";
+    }
+    const Step &step = job.steps.front();
+    std::vector<WorkerSelector::Candidate> candidates
+        = selector_.findCandidates(step.definition, route, position.isLate, operatorState, now);
+    if (result.isIsolated) {
+        std::erase_if(candidates, [&](const auto &each) { return !isWorthRisk(job, step, *each.view, now); });
+    }
+    result.workers = PlacementExplainer(directory_, runTimes_, health_, containment_)
+                         .explain(step.definition, route, candidates, operatorState, now);
+    return result;
+}
+
 void WorkScheduler::checkDeadlines(MonotonicTime now)
 {
     std::vector<std::string> rejected;
@@ -536,12 +554,6 @@
               now);
 }
 
-void WorkScheduler::removeWorker(const std::string &worker)
-{
-    health_.removeWorker(worker);
-    runTimes_.removeWorker(worker);
-}
-
 std::vector<WorkCommand> WorkScheduler::takeCommands()
 {
     std::vector<WorkCommand> commands = containment_.takeCommands();
@@ -724,19 +736,6 @@
     return std::clamp(wait, MinRetryAfter, MaxRetryAfter);
 }
 
-void WorkScheduler::rejectPendingJobs(MonotonicTime now)
-{
-    std::vector<std::string> waiting;
-    for (const auto &[id, job] : jobs_) {
-        if (!job.hasStarted) {
-            waiting.push_back(id);
-        }
-    }
-    for (const std::string &id : waiting) {
-        finishJob(id, ResponseStatus::Rejected, "stopping", now);
-    }
-}
-
 void WorkScheduler::interruptAllJobs(MonotonicTime now)
 {
     while (!jobs_.empty()) {
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -3,6 +3,7 @@
 #include "core/time.h"
 #include "request/crash_containment.h"
 #include "request/operator_state_cache.h"
+#include "request/placement_explainer.h"
 #include "request/run_time_estimator.h"
 #include "request/started_jobs.h"
 #include "request/work_command.h"
@@ -63,7 +64,16 @@
 
     /** Cancels a job; returns false if there is no such job. */
     bool cancel(const std::string &jobId, MonotonicTime now);
-    bool hasJob(const std::string &jobId) const;
+    bool hasJob(const std::string &jobId) const
+    {
+        return jobs_.contains(jobId);
+    }
+
+    /** Explains where the tasks of a job with one step would be placed if it was submitted now. */
+    PlacementExplanation explain(const SubmitWork &call,
+                                 const wire::Route &route,
+                                 const OperatorStateCache &operatorState,
+                                 MonotonicTime now) const;
 
     /**
      * The answer to a job of which this submission runs no task. A rejection says that no task has run, so the job is
@@ -86,14 +96,15 @@
     void handleWorkerCrash(const std::string &agent, const wire::WorkerCrash &crash, MonotonicTime now);
 
     /** Drops the records of a worker that will not return. */
-    void removeWorker(const std::string &worker);
+    void removeWorker(const std::string &worker)
+    {
+        health_.removeWorker(worker);
+        runTimes_.removeWorker(worker);
+    }
 
     /** Dispatches tasks to workers with free capacity and rejects jobs that waited too long. */
     void schedule(const OperatorStateCache &operatorState, MonotonicTime now);
 
-    /** Rejects all jobs that have not started, on shutdown. */
-    void rejectPendingJobs(MonotonicTime now);
-
     /** Stops all jobs and responds to all calls, on shutdown. */
     void interruptAllJobs(MonotonicTime now);
 
@@ -175,6 +186,7 @@
         auto operator<=>(const QueuePosition &) const = default;
     };
 
+    Job makeJob(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now) const;
     static QueuePosition queuePositionOf(const Job &job, MonotonicTime now);
     bool admitJob(Job &job, MonotonicTime now) const;
     Milliseconds expectedWait(const QueuePosition &position) const;
--- a/request/work_types.h
+++ b/request/work_types.h
@@ -34,6 +34,9 @@
     bool operator==(const WorkJob &) const = default;
 };
 
+/** Length of the critical path through the steps, given the expected run time of each. */
+Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes);
+
 /**
  * Target of a call. The route with the longest matching path prefix selects the queue, and the rest of the path is
  * the job ID.
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -51,7 +51,7 @@
                                                                       const wire::Route &route,
                                                                       bool isLate,
                                                                       const OperatorStateCache &operatorState,
-                                                                      MonotonicTime now)
+                                                                      MonotonicTime now) const
 {
     std::vector<Candidate> candidates;
     const QueueIsolation *isolation = containment_.isolationOf(route.serviceName);
@@ -112,6 +112,19 @@
     return Demand{isReserved ? -static_cast<int>(capacity * options_.priorityReserve) : 0, 0, 0};
 }
 
+std::optional<double> WorkerSelector::scoreOf(const Candidate &candidate, const Demand &available, const Demand &demand)
+{
+    const bool hasFreeCapacity = demand.fitsIn(available);
+    const bool canTakeTask
+        = candidate.status == HealthStatus::Healthy || (candidate.status == HealthStatus::Probing && hasFreeCapacity);
+    if (!canTakeTask || !demand.fitsIn(available + candidate.overcommit)) {
+        return std::nullopt;
+    }
+    const double freeShare = static_cast<double>(available.cpuMillis)
+        / std::max(1, static_cast<int>(candidate.view->state.capacity.cpuMillis));
+    return (hasFreeCapacity ? ImmediateStartBonus : 0) + candidate.baseScore + FreeCapacityWeight * freeShare;
+}
+
 /** A worker on which the run would have to wait is selected only if it would have to wait on all of them. */
 WorkerSelector::Candidate *WorkerSelector::selectWorker(std::vector<Candidate> &candidates,
                                                         const Demand &demand,
@@ -123,18 +136,12 @@
     double bestScore = 0;
     for (Candidate &each : candidates) {
         const WorkerView &view = *each.view;
-        const bool hasFreeCapacity = demand.fitsIn(view.available);
-        const bool canTakeTask
-            = each.status == HealthStatus::Healthy || (each.status == HealthStatus::Probing && hasFreeCapacity);
-        if (!canTakeTask || !demand.fitsIn(view.available + each.overcommit)
-            || (!onlyAgent.empty() && view.agent != onlyAgent)
+        const std::optional<double> fixedScore = scoreOf(each, view.available, demand);
+        if (!fixedScore || (!onlyAgent.empty() && view.agent != onlyAgent)
             || std::ranges::find(excludedWorkers, view.state.worker) != excludedWorkers.end()) {
             continue;
         }
-        const double freeShare = static_cast<double>(view.available.cpuMillis)
-            / std::max(1, static_cast<int>(view.state.capacity.cpuMillis));
-        const double score = (hasFreeCapacity ? ImmediateStartBonus : 0) + each.baseScore
-            + FreeCapacityWeight * freeShare + jitter(random_);
+        const double score = *fixedScore + jitter(random_);
         if (best == nullptr || score > bestScore) {
             best = &each;
             bestScore = score;
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -8,6 +8,7 @@
 #include "request/worker_directory.h"
 #include "request/worker_health.h"
 
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -59,7 +60,10 @@
                                           const wire::Route &route,
                                           bool isLate,
                                           const OperatorStateCache &operatorState,
-                                          MonotonicTime now);
+                                          MonotonicTime now) const;
+
+    /** The candidate's score for a task at this free capacity; nothing if it can't take the task. */
+    static std::optional<double> scoreOf(const Candidate &candidate, const Demand &available, const Demand &demand);
 
     /** Requests workers outside of the entry's subset for a task that no candidate can take. */
     void requestWorkers(const WorkStep &step,
