--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -98,19 +98,19 @@
     }
     Job job = makeJob(call, route, jobId, now);
     job.submission = ++lastSubmission_;
+    const Milliseconds runTime = expectedJobRunTime(call.job, route);
     out_.log(LogEvent::Level::Info,
              "job_accepted",
              {{"request", job.requestId},
               {"job", jobId},
               {"queue", route.name},
               {"tasks", absl::StrCat(job.remainingTasks)},
-              {"expected_ms", absl::StrCat(expectedJobRunTime(call.job, route).count())},
+              {"expected_ms", absl::StrCat(runTime.count())},
               {"deadline_ms", absl::StrCat(millisecondsBetween(now, job.deadlineAt))},
               {"waiting_jobs", absl::StrCat(queue_.size())}});
     const bool isAdmitted = admitJob(job, now);
     Job &added = jobs_[jobId] = std::move(job);
-    containment_.recordJob(
-        route, added.remainingWork, criticalPath / std::max<int64_t>(1, std::ssize(added.steps)), now);
+    containment_.recordJob(route, added.remainingWork, runTime / std::max<int64_t>(1, std::ssize(added.steps)), now);
     if (const CrashVerdict verdict = containment_.verdictOnJob(jobId); verdict != CrashVerdict::MayStart) {
         giveUpAfterCrashes(jobId, verdict, now);
         return;
