Offer scarce capacity to the entry with the most urgent waiting work

Entries that see the same free capacity order it at the same time, and all orders but one come back. With the setting offers, entries report their most urgent waiting task with messages that are sent anyway, and an agent shows free capacity that a waiting task can use to one entry at a time. Orders to full workers that come back are limited to a share of all dispatches.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -53,12 +53,16 @@
 std::vector<WorkAgentCommand> WorkAgent::flush(MonotonicTime now)
 {
     dispatchSupervisorOutput(now);
-    const Report report{supervisor_.state(), supervisor_.freeCapacity()};
+    Report report{supervisor_.state(), supervisor_.freeCapacity()};
+    const Demand free = fromWire(report.freeCapacity.unclaimed);
+    offers_.update(report.freeCapacity.takesRuns ? free : Demand(), now);
+    std::ranges::move(offers_.takeLogs(), std::back_inserter(commands_));
     const auto isConnected = [](const auto &each) { return each.second.isConnected; };
     connectedEntries_ = static_cast<int>(std::ranges::count_if(entries_, isConnected));
     activeEntries_ = static_cast<int>(
         std::ranges::count_if(entries_, [&](const auto &each) { return isConnected(each) && !each.second.isStandby; }));
     for (auto &[address, entry] : entries_) {
+        report.freeCapacity.unclaimed = toWire(offers_.visibleTo(address, free));
         sendIfDue(address, entry, report, now);
     }
     stopWhenDone(now);
@@ -129,6 +133,7 @@
         entry.lastSentAt = MonotonicTime(); // The entry orders runs only after it has received the current state.
     }
     entry.isStandby = batch->standby;
+    recordWaitingWork(event.address, *batch, now);
     entry.ends.acknowledge(batch->acknowledged);
     if (isEntryAlive(entry, now)) {
         entry.isExpired = false;
@@ -153,6 +158,17 @@
     }
 }
 
+void WorkAgent::recordWaitingWork(const std::string &address, const wire::EntryBatch &batch, MonotonicTime now)
+{
+    if (!options_.offers) {
+        return;
+    }
+    if (std::ranges::any_of(batch.instructions, [](const auto &each) { return each.__isset.order; })) {
+        offers_.recordOrder(address);
+    }
+    offers_.recordWaiting(address, batch.__isset.waiting ? std::optional(batch.waiting) : std::nullopt, now);
+}
+
 void WorkAgent::beginSession(const std::string &address, Entry &entry, const wire::EntryBatch &batch, MonotonicTime now)
 {
     if (!entry.incarnation.empty()) {
@@ -210,6 +226,7 @@
         entry.lastConnectAt = MonotonicTime();
     }
     entry.isConnected = false;
+    offers_.removeEntry(event.address);
 }
 
 void WorkAgent::onTick(MonotonicTime now)
@@ -237,6 +254,7 @@
                 {{"entry", address}, {"silent_ms", absl::StrCat(millisecondsBetween(entry.lastReceivedAt, now))}});
             entry.isConnected = false;
             entry.lastConnectAt = MonotonicTime();
+            offers_.removeEntry(address);
         } else {
             return;
         }
@@ -363,7 +381,8 @@
     const bool isCapacityUpdateDue
         = report.freeCapacity != entry.lastFreeCapacitySent && elapsed >= capacityUpdateDelay(entry, report);
     if (entry.ends.hasUnsent() || entry.lastCrashSent < crashLog_.lastNumber() || entry.isAskedForState
-        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue || isOperatorStateDue(entry, now)) {
+        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue || isOperatorStateDue(entry, now)
+        || (offers_.isOfferUnsent(address) && report.freeCapacity != entry.lastFreeCapacitySent)) {
         send(address, entry, report, now);
     }
 }
@@ -398,6 +417,7 @@
     batch.leaving = drainingSince_.has_value();
     entry.wasLeaving = batch.leaving;
     entry.lastSentAt = now;
+    offers_.markSent(address);
     commands_.emplace_back(SendToPeer{address, std::move(batch)});
 }
 
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -4,6 +4,7 @@
 #include "event/link_event.h"
 #include "event/log_event.h"
 #include "event/process_event.h"
+#include "request/capacity_offers.h"
 #include "request/crash_log.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
@@ -152,6 +153,7 @@
     int64_t newestKnownPosition() const;
     void askForOperatorState(MonotonicTime now);
     bool isStandbyUpdateDue(const Entry &entry, const Report &report, MonotonicTime now) const;
+    void recordWaitingWork(const std::string &address, const wire::EntryBatch &batch, MonotonicTime now);
     void dispatchSupervisorOutput(MonotonicTime now);
     void sendIfDue(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
     void send(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
@@ -163,6 +165,7 @@
     const WorkAgentOptions options_;
     WorkerSupervisor supervisor_;
     CrashLog crashLog_;
+    CapacityOffers offers_;
     OperatorStateCache operatorStateCache_;
     std::map<std::string, Entry> entries_; ///< By address.
     int connectedEntries_ = 0; ///< As of the last flush.
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -28,22 +28,6 @@
 /** Upper bound of the budget for retries of overdue tasks. */
 constexpr double MaxRetryBudget = 20;
 
-/** Length of the critical path through the steps, given the expected run time of each. */
-Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes)
-{
-    std::vector<Milliseconds> ends(steps.size());
-    Milliseconds longest{0};
-    for (size_t i = 0; i < steps.size(); ++i) {
-        Milliseconds start{0};
-        for (const int dependency : steps[i].dependencies) {
-            start = std::max(start, ends[static_cast<size_t>(dependency)]);
-        }
-        ends[i] = start + runTimes[i];
-        longest = std::max(longest, ends[i]);
-    }
-    return longest;
-}
-
 } // namespace
 
 WorkScheduler::WorkScheduler(WorkSchedulerOptions options, WorkerDirectory &directory)
@@ -238,6 +222,22 @@
         checkDeadlines(now);
     }
     dispatchTasks(operatorState, now);
+    reportWaitingWork(now);
+}
+
+void WorkScheduler::reportWaitingWork(MonotonicTime now)
+{
+    WaitingWork &waiting = directory_.renewWaitingWork();
+    const auto end = options_.selector.offers ? queue_.end() : queue_.begin();
+    for (auto each = queue_.begin(); each != end && !each->isLate && !waiting.isFull(); ++each) {
+        const Job &job = jobs_.at(each->jobId);
+        for (const Step &step : job.steps) {
+            if (job.latestStartAt >= now && isReady(job, step)) {
+                const auto tasks = std::ranges::count(step.tasks, TaskState::Queued, &Task::state);
+                waiting.add(job.route.serviceName, step.definition, static_cast<int>(tasks), job.sortKey);
+            }
+        }
+    }
 }
 
 void WorkScheduler::checkDeadlines(MonotonicTime now)
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -180,6 +180,7 @@
     Milliseconds expectedWait(const QueuePosition &position) const;
     void updateDrainRate(MonotonicTime now);
     void enqueueJob(Job &job, MonotonicTime now);
+    void reportWaitingWork(MonotonicTime now);
     void checkDeadlines(MonotonicTime now);
     bool isWorthRisk(const Job &job, const Step &step, const WorkerView &view, MonotonicTime now) const;
     void dispatchTasks(const OperatorStateCache &operatorState, MonotonicTime now);
--- a/request/work_types.cpp
+++ b/request/work_types.cpp
@@ -1,5 +1,7 @@
 #include "request/work_types.h"
 
+#include <algorithm>
+
 namespace marjoramferry {
 
 const char *responseStatusName(ResponseStatus status)
@@ -33,4 +35,19 @@
     return "unknown";
 }
 
+Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes)
+{
+    std::vector<Milliseconds> ends(steps.size());
+    Milliseconds longest{0};
+    for (size_t i = 0; i < steps.size(); ++i) {
+        Milliseconds start{0};
+        for (const int dependency : steps[i].dependencies) {
+            start = std::max(start, ends[static_cast<size_t>(dependency)]);
+        }
+        ends[i] = start + runTimes[i];
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
 } // namespace marjoramferry
--- a/request/work_types.h
+++ b/request/work_types.h
@@ -25,6 +25,9 @@
     bool operator==(const WorkStep &) const = default;
 };
 
+/** Length of the critical path through the steps, given the expected run time of each. */
+Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes);
+
 struct WorkJob
 {
     std::string spec; ///< Passed to the worker with each task; interpreted only by the worker.
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -31,6 +31,10 @@
 constexpr size_t MaxActiveFactor = 3;
 /** Its multiples are spread evenly between 0 and 1 modulo 1. */
 constexpr double GoldenRatio = 0.618033988749895;
+/** Minimum interval between messages that only report that the waiting work became more urgent. */
+constexpr Milliseconds WaitingWorkInterval{20};
+/** They report a change of urgency by at least this much. */
+constexpr Milliseconds UrgencyChange{50};
 
 double hashOf(const std::string &entry, const std::string &agent, XXH64_hash_t seed)
 {
@@ -119,6 +123,7 @@
         const size_t duplicates = view.runEndFilter.acceptBatch(batch.firstSequence, batch.ends.size());
         update.ends.assign(batch.ends.begin() + static_cast<std::ptrdiff_t>(duplicates), batch.ends.end());
         view.openRuns -= static_cast<int>(update.ends.size());
+        recordOvercommittedEnds(view, update.ends);
         std::erase_if(view.uncountedDemands, [&](const auto &each) { return each.first <= batch.acknowledged; });
     }
     updateAvailable(view, now);
@@ -137,6 +142,17 @@
     view.uncountedDemands.clear();
     view.operatorPositionSent = 0;
     view.openRuns = 0;
+    view.overcommittedRuns.clear();
+}
+
+void WorkerDirectory::recordOvercommittedEnds(WorkerView &view, const std::vector<wire::RunEnd> &ends)
+{
+    for (const wire::RunEnd &end : ends) {
+        const bool wasOvercommitted = view.overcommittedRuns.erase(end.runNumber) > 0;
+        if (wasOvercommitted && end.outcome != wire::RunOutcome::NOT_STARTED) {
+            overcommitBudget_.recordStart();
+        }
+    }
 }
 
 void WorkerDirectory::activate(WorkerView &view)
@@ -299,6 +315,11 @@
 void WorkerDirectory::orderRun(WorkerView &view, const wire::RunOrder &order, MonotonicTime now)
 {
     const Demand demand = fromWire(order.demand);
+    const bool isFull = !demand.fitsIn(view.available);
+    overcommitBudget_.recordDispatch(isFull);
+    if (isFull) {
+        view.overcommittedRuns.insert(order.runNumber);
+    }
     wire::RunInstruction instruction;
     instruction.__set_order(order);
     view.instructions.add(std::move(instruction));
@@ -343,6 +364,9 @@
             sendBatch(*view, operatorState, wantsOperatorState, isLeaving, now);
         }
     }
+    if (WorkerView *view = findOutdatedAgent(now); view != nullptr) {
+        sendBatch(*view, operatorState, wantsOperatorState, isLeaving, now);
+    }
     if (now - standbyCheckedAt_ < StandbyCheckInterval) {
         return;
     }
@@ -367,6 +391,28 @@
         || isOperatorStateDue(view, operatorState);
 }
 
+/**
+ * The agent that has known for the longest time of less urgent waiting work only, or nullptr. One agent at a time, so
+ * that the number of these messages doesn't depend on the number of workers; the others learn from the next message.
+ */
+WorkerView *WorkerDirectory::findOutdatedAgent(MonotonicTime now)
+{
+    WorkerView *oldest = nullptr;
+    if (waiting_.isEmpty() || now - waitingCheckedAt_ < WaitingWorkInterval) {
+        return oldest;
+    }
+    waitingCheckedAt_ = now;
+    for (WorkerView *view : activeViews_) {
+        const auto waiting = waiting_.forWorker(view->state, now);
+        if (view->link != LocalLink && waiting
+            && now + Milliseconds(waiting->rank) + UrgencyChange <= view->headSortKeySent
+            && (oldest == nullptr || view->lastSentAt < oldest->lastSentAt)) {
+            oldest = view;
+        }
+    }
+    return oldest;
+}
+
 bool WorkerDirectory::isStandbyBatchDue(const WorkerView &view, MonotonicTime now) const
 {
     // The interval varies by a fifth between workers, so that their messages don't coincide.
@@ -414,6 +460,10 @@
         batch.__set_operatorState(operatorState.state());
     }
     view.wantsOperatorState = false;
+    if (const auto waiting = view.isActive ? waiting_.forWorker(view.state, now) : std::nullopt; waiting) {
+        batch.__set_waiting(*waiting);
+    }
+    view.headSortKeySent = batch.__isset.waiting ? now + Milliseconds(batch.waiting.rank) : MonotonicTime::max();
     batch.entries.assign(entries_.begin() + static_cast<std::ptrdiff_t>(view.entriesSent), entries_.end());
     view.entriesSent = entries_.size();
     batch.wantsOperatorState = wantsOperatorState && isAskedForOperatorState(view, now);
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -5,13 +5,16 @@
 #include "request/demand.h"
 #include "request/idle_capacity.h"
 #include "request/operator_state_cache.h"
+#include "request/overcommit_budget.h"
 #include "request/retransmission_queue.h"
+#include "request/waiting_work.h"
 #include "request/work_command.h"
 #include "request/worker_subset.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,10 +77,13 @@
     std::optional<bool> activeSent; ///< The value of isActive last sent over this link.
     MonotonicTime activeUntil; ///< A worker outside of the subset is active until then.
     MonotonicTime tookRunsAt; ///< When the agent last reported that the worker takes runs.
+    std::set<int64_t> overcommittedRuns; ///< Numbers of the open runs that were ordered while the worker was full.
     int openRuns = 0; ///< Runs ordered in this session whose end was not received.
     /** Runs of a session with an earlier incarnation of the agent may be left until the agent has cleared them. */
     bool mayHaveEarlierRuns = false;
     bool wasUnusable = false;
+    /** Sort key of the most urgent waiting task that the agent knows of; the maximum if it knows of none. */
+    MonotonicTime headSortKeySent = MonotonicTime::max();
 
     /** Whether a run of this entry may be left on the worker, or will be once an instruction arrives. */
     bool mayHaveRuns() const
@@ -136,6 +142,13 @@
     /** Adds the address of an entry, which is sent to each agent once per connection. */
     void addEntry(const std::string &address);
 
+    /** Clears the list of the tasks that are reported to agents as waiting, and returns it to be filled. */
+    WaitingWork &renewWaitingWork()
+    {
+        waiting_.clear();
+        return waiting_;
+    }
+
     /** Sends a message to each agent for which one is due. */
     void
     sendBatches(const OperatorStateCache &operatorState, bool wantsOperatorState, bool isLeaving, MonotonicTime now);
@@ -154,6 +167,12 @@
         return views_;
     }
 
+    /** Of orders to workers without free capacity. */
+    const OvercommitBudget &overcommitBudget() const
+    {
+        return overcommitBudget_;
+    }
+
     std::vector<WorkCommand> takeCommands()
     {
         return out_.take();
@@ -162,12 +181,14 @@
 private:
     void beginSession(WorkerView &view);
     void updateAvailable(WorkerView &view, MonotonicTime now);
+    void recordOvercommittedEnds(WorkerView &view, const std::vector<wire::RunEnd> &ends);
     void selectSubsets(const OperatorStateCache &operatorState, MonotonicTime now);
     bool isEligible(const WorkerView &view, const OperatorStateCache &operatorState, MonotonicTime now) const;
     bool canActivateMore() const;
     void activate(WorkerView &view);
     bool isActiveBatchDue(const WorkerView &view, const OperatorStateCache &operatorState, MonotonicTime now) const;
     bool isStandbyBatchDue(const WorkerView &view, MonotonicTime now) const;
+    WorkerView *findOutdatedAgent(MonotonicTime now);
     bool isOperatorStateDue(const WorkerView &view, const OperatorStateCache &operatorState) const;
     bool isAskedForOperatorState(const WorkerView &view, MonotonicTime now) const;
     void sendBatch(WorkerView &view,
@@ -190,6 +211,9 @@
     MonotonicTime standbyCheckedAt_;
     int64_t lastSession_ = 0;
     std::vector<std::string> entries_; ///< Addresses of entries, in the order in which they were added.
+    OvercommitBudget overcommitBudget_;
+    WaitingWork waiting_;
+    MonotonicTime waitingCheckedAt_; ///< When an agent that knows of less urgent waiting work was last looked for.
     WorkOutbox out_;
 };
 
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -1,6 +1,7 @@
 #include "request/worker_selector.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace marjoramferry {
 
@@ -104,6 +105,9 @@
         return Demand{-std::min({static_cast<int>(capacity * options_.lateReserve), maxReserve, used}), 0, 0};
     }
     if (operatorState.isHighestPriority(route)) {
+        if (options_.offers && !isStartLikely(view, demand, now)) {
+            return Demand{};
+        }
         // At least one run may wait, also if tasks use a large part of a worker.
         return Demand{std::max(static_cast<int>(capacity * options_.priorityOvercommit), demand.cpuMillis), 0, 0};
     }
@@ -112,6 +116,23 @@
     return Demand{isReserved ? -static_cast<int>(capacity * options_.priorityReserve) : 0, 0, 0};
 }
 
+/** Whether a run that has to wait for capacity of the worker is likely to start before its order comes back. */
+bool WorkerSelector::isStartLikely(const WorkerView &view, const Demand &demand, MonotonicTime now) const
+{
+    if (!directory_.overcommitBudget().allowsOrder()) {
+        return false;
+    }
+    const auto &forecast = view.reported.forecast;
+    const Milliseconds horizon = options_.queueTimeout + Milliseconds(millisecondsBetween(view.lastMessageAt, now));
+    const auto releasedAfter = std::ranges::find_if(
+        forecast, [&](const wire::CapacityStep &each) { return Milliseconds(each.inMs) > horizon; });
+    const int released
+        = std::accumulate(forecast.begin(), releasedAfter, 0, [](int sum, const wire::CapacityStep &each) {
+              return sum + each.cpuMillis;
+          });
+    return forecast.empty() || demand.cpuMillis <= view.available.cpuMillis + released;
+}
+
 /** A worker on which the run would have to wait is selected only if it would have to wait on all of them. */
 WorkerSelector::Candidate *WorkerSelector::selectWorker(std::vector<Candidate> &candidates,
                                                         const Demand &demand,
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -33,6 +33,7 @@
     uint64_t seed = 1;
     bool workerSpeed = false; ///< Uses the slowdown that agents report.
     bool offers = false; ///< Sends a run to a full worker only if it is likely to start within the queue timeout.
+    Milliseconds queueTimeout{25}; ///< Equals WorkSchedulerOptions::agentQueueTimeout.
 };
 
 /** Selects a worker for each task by free capacity, speed, data locality and affinity. */
@@ -83,6 +84,7 @@
                          bool isLate,
                          const OperatorStateCache &operatorState,
                          MonotonicTime now) const;
+    bool isStartLikely(const WorkerView &view, const Demand &demand, MonotonicTime now) const;
 
     const WorkerSelectorOptions options_;
     WorkerDirectory &directory_;
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -101,6 +101,8 @@
     options.incarnation = absl::StrCat(options.name, "-", node.generation);
     options.linkAddress = addressOf(entry);
     options.directory.subset = options_.subset;
+    options.directory.offers = options_.offers;
+    options.scheduler.selector.offers = options_.offers;
     options.scheduler.selector.seed = options_.seed + static_cast<uint64_t>(node.generation);
     node.core = std::make_unique<WorkEntry>(options);
     deliverToEntry(entry, node.generation, OperatorStatePolled{makeOperatorState()});
@@ -115,6 +117,7 @@
     options.name = absl::StrCat("agent-", agent);
     options.incarnation = absl::StrCat(options.name, "-", node.generation);
     options.initialFence = millisecondsBetween(MonotonicTime(), now_);
+    options.offers = options_.offers;
     for (int entry = 0; entry < options_.entries; ++entry) {
         options.seedAddresses.push_back(addressOf(entry));
     }
@@ -196,6 +199,8 @@
         sendToAgent(each->link, std::move(each->message));
     } else if (const auto *each = std::get_if<CallResponse>(&command)) {
         onResponse(*each);
+    } else if (const auto *each = std::get_if<LogEvent>(&command)) {
+        recordDispatch(*each);
     }
 }
 
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -33,6 +33,7 @@
     uint64_t seed = 1;
     double lostResponseShare = 0; ///< Fraction of starts executed at once whose response is lost.
     double lateOrderShare = 0; ///< Fraction of starts executed seconds later, without a response.
+    bool offers = false; ///< The setting `offers` of entries and agents.
 };
 
 /** A job of equal tasks. */
@@ -107,6 +108,22 @@
         return messagesSent_;
     }
 
+    /** Run orders of entries since the start, and the tasks that they ordered at least once. */
+    int64_t dispatches() const
+    {
+        return dispatches_;
+    }
+    int64_t dispatchedTasks() const
+    {
+        return dispatchedTasks_;
+    }
+
+    /** Dispatches that did not lead to a run, by the reason that the agent gave. */
+    const std::map<std::string, int> &returnedDispatches() const
+    {
+        return returnedDispatches_;
+    }
+
     const std::vector<CallRecord> &calls() const
     {
         return calls_;
@@ -153,6 +170,7 @@
     void flushAgent(int agent);
     void execute(int entry, WorkEntryCommand &command);
     void execute(int agent, WorkAgentCommand &command);
+    void recordDispatch(const LogEvent &event);
     void sendToEntry(int agent, const std::string &address, Message message);
     void sendToAgent(LinkId link, Message message);
     void closeConnections(const std::function<bool(const Connection &)> &matches);
@@ -191,6 +209,9 @@
     LinkId lastLink_ = 0;
     int64_t lastGeneration_ = 0;
     int64_t messagesSent_ = 0;
+    int64_t dispatches_ = 0;
+    int64_t dispatchedTasks_ = 0;
+    std::map<std::string, int> returnedDispatches_;
 };
 
 } // namespace marjoramferry::testing
--- a/tests/support/work_simulation_results.cpp
+++ b/tests/support/work_simulation_results.cpp
@@ -35,6 +35,20 @@
     return static_cast<double>(onTime) / std::max(1, total);
 }
 
+void WorkSimulation::recordDispatch(const LogEvent &event)
+{
+    const auto valueOf = [&](const std::string &key) {
+        const auto field = std::ranges::find_if(event.fields, [&](const LogField &each) { return each.key == key; });
+        return field == event.fields.end() ? std::string() : field->value;
+    };
+    if (event.event == "run_dispatched") {
+        ++dispatches_;
+        dispatchedTasks_ += valueOf("task").ends_with("/1") ? 1 : 0; // The first attempt.
+    } else if (event.event == "run_not_completed" && valueOf("outcome") == "NOT_STARTED") {
+        ++returnedDispatches_[valueOf("reason")];
+    }
+}
+
 Milliseconds WorkSimulation::longestRejectionDelay() const
 {
     Milliseconds longest{0};
