Drop a report of waiting work once an offer for it was not used; bound dispatches in a burst

All agents offer capacity for the same few waiting tasks: in a burst at 13 entries, 2,950 of 5,660 offers expired. An entry that leaves an offer unused has placed its tasks elsewhere, so its report counts as absent until the next one.

--- a/request/capacity_offers.cpp
+++ b/request/capacity_offers.cpp
@@ -106,6 +106,9 @@
         return;
     }
     Waiter &waiter = waiters_[offer_->entry];
+    if (waiter.reportedAt <= offer_->expiresAt - OfferValidity) {
+        waiter.tasks = 0; // Its tasks have found other workers, or can't use this one.
+    }
     if (++waiter.unusedOffers >= MaxUnusedOffers) {
         waiter.unusedOffers = 0;
         waiter.pausedUntil = now + UnusedPause;
