--- a/tests/promises/capacity_offers_test.cpp
+++ b/tests/promises/capacity_offers_test.cpp
@@ -28,7 +28,7 @@
 };
 
 /** A burst of the queue of the lowest priority; workers hold about ten tasks each. */
-BurstResult runBurst(int entries, bool offers, double utilization, uint64_t seed)
+BurstResult runBurst(int entries, bool offers, double utilization, uint64_t seed, bool hasFaults = false)
 {
     SimulationOptions options;
     options.entries = entries;
@@ -49,6 +49,11 @@
     burst.to = BurstTo;
     loads.push_back(burst);
     const MonotonicTime begin = simulation.now();
+    if (hasFaults) {
+        simulation.schedule(BurstFrom + Milliseconds(500), [&] { simulation.killEntry(0, Milliseconds(1000)); });
+        simulation.schedule(BurstFrom + Milliseconds(900), [&] { simulation.killAgent(2, Milliseconds(300)); });
+        simulation.schedule(BurstFrom + Milliseconds(1500), [&] { simulation.freezeEntry(1, Milliseconds(400)); });
+    }
     const int64_t messagesBefore = simulation.messagesSent();
     submitLoad(simulation, loads, seed);
     simulation.runFor(LoadDuration);
@@ -94,3 +99,19 @@
     }
     CHECK(onTimeOn >= onTimeOff);
 }
+
+// Guards against offers that an entry holds when it crashes or hangs, or that an agent forgets.
+TEST_CASE(
+    "Burst with offers, a crashed entry, a hung entry and a crashed agent: as many jobs in time as without offers")
+{
+    double onTimeOff = 0;
+    double onTimeOn = 0;
+    for (const uint64_t seed : {1, 2, 3, 4}) {
+        const BurstResult off = runBurst(9, false, 0.75, seed, true);
+        const BurstResult on = runBurst(9, true, 0.75, seed, true);
+        UNSCOPED_INFO(off.summary << "\n" << on.summary);
+        onTimeOff += off.onTimeShare;
+        onTimeOn += on.onTimeShare;
+    }
+    CHECK(onTimeOn >= onTimeOff);
+}
