--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -227,6 +227,22 @@
         checkDeadlines(now);
     }
     dispatchTasks(operatorState, now);
+    reportWaitingWork(now);
+}
+
+void WorkScheduler::reportWaitingWork(MonotonicTime now)
+{
+    WaitingWork &waiting = directory_.renewWaitingWork();
+    const auto end = options_.selector.offers ? queue_.end() : queue_.begin();
+    for (auto each = queue_.begin(); each != end && !each->isLate && !waiting.isFull(); ++each) {
+        const Job &job = jobs_.at(each->jobId);
+        for (const Step &step : job.steps) {
+            if (job.latestStartAt >= now && isReady(job, step)) {
+                const auto tasks = std::ranges::count(step.tasks, TaskState::Queued, &Task::state);
+                waiting.add(job.route.serviceName, step.definition, static_cast<int>(tasks), job.sortKey);
+            }
+        }
+    }
 }
 
 PlacementExplanation WorkScheduler::explain(const SubmitWork &call,
