Judge arriving jobs by their queue's share and expected end (setting admission)

Cause: a job that can't be served waited for 35% of its timeout before it was rejected, and a burst of one queue delayed the others. Change: QueueShares measures offered work, capacity and shares; JobAdmission classifies jobs by the time at which their last task would end; ReturnSchedule spreads Retry-After. The drain rate moves out of WorkScheduler. Off by default.

--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -18,9 +18,8 @@
 constexpr int64_t LateRankOffsetMs = 60'000;
 /** A response should reach its caller this long before the caller's timeout. */
 constexpr Milliseconds ResponseMargin{20};
-/** Measurement window of the drain rate, and the weight of the previous value in the moving average. */
-constexpr Milliseconds DrainRateWindow{100};
-constexpr double PreviousDrainRateWeight = 0.6;
+/** An answer after this many times the objective is worth nothing to its caller. */
+constexpr int UsefulObjectives = 3;
 /** Interval between scans of all jobs and runs for passed deadlines. */
 constexpr Milliseconds CheckInterval{10};
 constexpr Milliseconds MinRetryAfter{1000};
@@ -103,8 +102,12 @@
         = now + objective - std::chrono::duration_cast<Milliseconds>(criticalPath * (1 + options_.startMargin));
     job.sortKey = job.latestStartAt + options_.priorityStep * route.priority;
     job.deadlineAt = now + timeout;
-    job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
-                            job.deadlineAt - ResponseMargin - criticalPath);
+    job.rejectAt = options_.admission
+        ? job.deadlineAt
+        : std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
+                   job.deadlineAt - ResponseMargin - criticalPath);
+    job.needs = needsOf(job, criticalPath, objective);
+    job.worthlessAt = options_.admission ? job.needs.usefulUntil - criticalPath : MonotonicTime::max();
     out_.log(LogEvent::Level::Info,
              "job_accepted",
              {{"request", job.requestId},
@@ -132,52 +135,70 @@
     enqueueJob(added, now);
 }
 
+JobNeeds WorkScheduler::needsOf(const Job &job, Milliseconds runTime, Milliseconds objective)
+{
+    return JobNeeds{job.route.name,
+                    job.route.priority,
+                    job.remainingTasks,
+                    job.remainingWork,
+                    runTime,
+                    job.latestStartAt,
+                    job.arrivedAt + objective * UsefulObjectives,
+                    job.deadlineAt - ResponseMargin};
+}
+
 /**
- * Predicts when the job would start behind the jobs that precede it. A job expected to be late is queued behind
- * all jobs that can be in time; a late job expected to start only after its rejectAt is refused at once.
+ * Predicts how the job would end behind the jobs that precede it. Without admission control, a job expected to be late
+ * is queued behind all jobs that can be in time; one expected to start only after its rejectAt is refused at once.
  */
-bool WorkScheduler::admitJob(Job &job, MonotonicTime now) const
+bool WorkScheduler::admitJob(Job &job, MonotonicTime now)
 {
-    if (queue_.empty() || drainRate_ <= 0) {
-        return true;
+    const auto workAhead = [&](JobProspect prospect) {
+        return workAheadOf(QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id});
+    };
+    if (options_.admission) {
+        job.prospect = admission_.classify(job.needs, workAhead, now);
+        return job.prospect != JobProspect::Hopeless;
     }
-    const Milliseconds wait = expectedWait(queuePositionOf(job, now));
-    job.isExpectedLate = now + wait > job.latestStartAt;
-    if (!job.isExpectedLate) {
+    if (queue_.empty() || drainRate_.rate() <= 0) {
         return true;
     }
-    // As a late job it waits behind all jobs that can be in time.
-    return now + expectedWait(queuePositionOf(job, now)) <= job.rejectAt;
+    const auto expectedWait = [&] {
+        return Milliseconds(static_cast<int64_t>(workAheadOf(queuePositionOf(job, now)) / drainRate_.rate()));
+    };
+    const bool isExpectedLate = now + expectedWait() > job.latestStartAt;
+    job.prospect = isExpectedLate ? JobProspect::Late : JobProspect::InTime;
+    return !isExpectedLate || now + expectedWait() <= job.rejectAt;
 }
 
-Milliseconds WorkScheduler::expectedWait(const QueuePosition &position) const
+double WorkScheduler::workAheadOf(const QueuePosition &position) const
 {
     double workAhead = 0;
     for (auto each = queue_.begin(); each != queue_.end() && *each < position; ++each) {
         workAhead += jobs_.at(each->jobId).remainingWork;
     }
-    return Milliseconds(static_cast<int64_t>(workAhead / drainRate_));
+    return workAhead;
 }
 
-/** Updates the moving average of the rate at which waiting jobs are dispatched. */
-void WorkScheduler::updateDrainRate(MonotonicTime now)
+/** Adapts the capacity estimate to workers that became unusable. */
+void WorkScheduler::followCapacity(const OperatorStateCache &operatorState, MonotonicTime now)
 {
-    if (now - drainMeasuredAt_ >= DrainRateWindow) {
-        const double rate = dispatchedWork_ / std::max(1, millisecondsBetween(drainMeasuredAt_, now));
-        const double previousWeight = drainRate_ > 0 ? PreviousDrainRateWeight : 0;
-        drainRate_
-            = wasBacklogged_ ? drainRate_ * previousWeight + rate * (1 - previousWeight) : std::max(drainRate_, rate);
-        dispatchedWork_ = 0;
-        drainMeasuredAt_ = now;
-        wasBacklogged_ = true;
+    double usable = 0;
+    for (const WorkerView *view : directory_.activeViews()) {
+        const bool isUsable = directory_.isUsable(*view, now) && !operatorState.isEvacuated(view->state.domain);
+        usable += isUsable ? view->state.capacity.cpuMillis : 0;
     }
-    wasBacklogged_ = wasBacklogged_ && !queue_.empty();
+    admission_.shares().followCapacity(usable);
 }
 
 WorkScheduler::QueuePosition WorkScheduler::queuePositionOf(const Job &job, MonotonicTime now)
 {
-    const bool isLate = !job.hasStarted && (job.isExpectedLate || job.latestStartAt < now);
-    return QueuePosition{isLate, job.sortKey, job.id};
+    JobProspect prospect = job.hasStarted ? JobProspect::InTime : job.prospect;
+    if (!job.hasStarted && job.latestStartAt < now) {
+        const bool isUseful = prospect <= JobProspect::Late && now < job.worthlessAt;
+        prospect = isUseful ? JobProspect::Late : JobProspect::Leftover;
+    }
+    return QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id};
 }
 
 void WorkScheduler::enqueueJob(Job &job, MonotonicTime now)
@@ -230,14 +251,16 @@
 
 void WorkScheduler::schedule(const OperatorStateCache &operatorState, MonotonicTime now)
 {
-    updateDrainRate(now);
+    drainRate_.update(!queue_.empty(), now);
     containment_.update(operatorState, now);
     if (now - lastCheckAt_ >= CheckInterval) {
         lastCheckAt_ = now;
+        followCapacity(operatorState, now);
         withdrawOverdueRuns(now);
         checkDeadlines(now);
     }
     dispatchTasks(operatorState, now);
+    admission_.shares().endPass(!queue_.empty(), now);
 }
 
 void WorkScheduler::checkDeadlines(MonotonicTime now)
@@ -257,17 +280,38 @@
     for (const std::string &id : expired) {
         finishJob(id, ResponseStatus::Interrupted, "deadline_passed", now);
     }
-    // Jobs that became late move behind those that can still be in time.
-    std::vector<QueuePosition> outdated;
+    if (options_.admission) {
+        for (const std::string &id : findHopelessJobs(now)) {
+            finishJob(id, ResponseStatus::Rejected, "overload", now);
+        }
+    }
+    updateQueuePositions(now);
+}
+
+/** The jobs without a started task that can't be answered in time behind the jobs that precede them. */
+std::vector<std::string> WorkScheduler::findHopelessJobs(MonotonicTime now) const
+{
+    std::vector<std::string> hopeless;
+    double workAhead = 0;
     for (const QueuePosition &position : queue_) {
         const Job &job = jobs_.at(position.jobId);
-        if (position.isLate) {
-            break;
-        }
-        if (!job.hasStarted && job.latestStartAt < now) {
-            outdated.push_back(position);
+        if (!job.hasStarted && admission_.isHopeless(job.needs, position.prospect, workAhead, now)) {
+            hopeless.push_back(job.id);
+            continue;
         }
+        workAhead += job.remainingWork;
     }
+    return hopeless;
+}
+
+/** Jobs that became late move behind those that can still be in time. */
+void WorkScheduler::updateQueuePositions(MonotonicTime now)
+{
+    std::vector<QueuePosition> outdated;
+    std::ranges::copy_if(queue_, std::back_inserter(outdated), [&](const QueuePosition &position) {
+        const Job &job = jobs_.at(position.jobId);
+        return !job.hasStarted && queuePositionOf(job, now) != position;
+    });
     for (const QueuePosition &position : outdated) {
         queue_.erase(position);
         queuePositions_.erase(position.jobId);
@@ -390,7 +434,8 @@
     job.hasStarted = true;
     const double work = static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
     job.remainingWork = std::max(0.0, job.remainingWork - work);
-    dispatchedWork_ += work;
+    drainRate_.recordDispatched(work);
+    admission_.shares().recordDispatched(job.route.name, work, now);
     const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.sortKey - now).count();
     wire::RunOrder order;
     order.runNumber = ++lastRunNumber_;
@@ -545,6 +590,7 @@
 std::vector<WorkCommand> WorkScheduler::takeCommands()
 {
     std::vector<WorkCommand> commands = containment_.takeCommands();
+    std::ranges::move(admission_.takeCommands(), std::back_inserter(commands));
     std::ranges::move(out_.take(), std::back_inserter(commands));
     return commands;
 }
@@ -592,6 +638,9 @@
         handleTaskFailed(job, run, now);
         return;
     case wire::RunOutcome::NOT_STARTED:
+        if (options_.admission) {
+            takeBackWork(job, run, now);
+        }
         requeueTask(job, task, now);
         return;
     case wire::RunOutcome::GONE:
@@ -638,6 +687,15 @@
     requeueTask(job, task, now);
 }
 
+/** Counts the work of a returned task as waiting again instead of dispatched. */
+void WorkScheduler::takeBackWork(Job &job, const Run &run, MonotonicTime now)
+{
+    const Step &step = job.steps[static_cast<size_t>(run.step)];
+    const double work = static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
+    job.remainingWork += work;
+    admission_.shares().recordDispatched(job.route.name, -work, now);
+}
+
 void WorkScheduler::requeueTask(Job &job, Task &task, MonotonicTime now)
 {
     task.state = TaskState::Queued;
@@ -671,7 +729,7 @@
     }
     withdrawRuns(jobId, now);
     const bool isRejected = status == ResponseStatus::Rejected;
-    const Milliseconds retryAfter = isRejected ? retryAfterDelay() : Milliseconds(0);
+    const Milliseconds retryAfter = isRejected ? retryAfterDelay(job, now) : Milliseconds(0);
     for (const uint64_t token : job.tokens) {
         jobsByToken_.erase(token);
         CallResponse response;
@@ -710,12 +768,15 @@
     }
 }
 
-Milliseconds WorkScheduler::retryAfterDelay() const
+Milliseconds WorkScheduler::retryAfterDelay(const Job &job, MonotonicTime now)
 {
     const double waitingWork
         = std::accumulate(queue_.begin(), queue_.end(), 0.0, [this](double sum, const QueuePosition &position) {
               return sum + jobs_.at(position.jobId).remainingWork;
           });
+    if (options_.admission) {
+        return admission_.reserveReturn(job.needs, waitingWork, now);
+    }
     double capacity = 1;
     for (const auto &[agent, view] : directory_.views()) {
         capacity += view.state.capacity.cpuMillis;
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 #include "request/crash_containment.h"
+#include "request/drain_rate.h"
+#include "request/job_admission.h"
 #include "request/operator_state_cache.h"
 #include "request/run_time_estimator.h"
 #include "request/started_jobs.h"
@@ -141,10 +143,12 @@
         MonotonicTime arrivedAt;
         MonotonicTime latestStartAt; ///< A job that starts later counts as late.
         MonotonicTime sortKey; ///< Order in the queue: latestStartAt, shifted by the queue's priority.
+        MonotonicTime worthlessAt; ///< A job that starts later is worth nothing to its caller.
         MonotonicTime rejectAt; ///< A job that has not started by then is rejected.
         MonotonicTime deadlineAt;
         double remainingWork = 0; ///< Of the undispatched tasks, in thousandths of a core times milliseconds.
-        bool isExpectedLate = false; ///< Predicted on arrival to start after latestStartAt.
+        JobNeeds needs; ///< As of the job's arrival.
+        JobProspect prospect = JobProspect::InTime; ///< Predicted on arrival.
         int queuedTasks = 0; ///< Tasks that wait for dispatch.
         int remainingTasks = 0; ///< Tasks that are not done.
         bool hasStarted = false;
@@ -168,7 +172,8 @@
     /** Sort key of a job in the queue. */
     struct QueuePosition
     {
-        bool isLate = false;
+        bool isLate = false; ///< Served after the jobs in time, with the rest of the capacity.
+        JobProspect prospect = JobProspect::InTime;
         MonotonicTime sortKey;
         std::string jobId;
 
@@ -176,9 +181,12 @@
     };
 
     static QueuePosition queuePositionOf(const Job &job, MonotonicTime now);
-    bool admitJob(Job &job, MonotonicTime now) const;
-    Milliseconds expectedWait(const QueuePosition &position) const;
-    void updateDrainRate(MonotonicTime now);
+    static JobNeeds needsOf(const Job &job, Milliseconds runTime, Milliseconds objective);
+    bool admitJob(Job &job, MonotonicTime now);
+    double workAheadOf(const QueuePosition &position) const;
+    void followCapacity(const OperatorStateCache &operatorState, MonotonicTime now);
+    std::vector<std::string> findHopelessJobs(MonotonicTime now) const;
+    void updateQueuePositions(MonotonicTime now);
     void enqueueJob(Job &job, MonotonicTime now);
     void checkDeadlines(MonotonicTime now);
     bool isWorthRisk(const Job &job, const Step &step, const WorkerView &view, MonotonicTime now) const;
@@ -193,17 +201,20 @@
     endRun(int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now);
     void handleTaskDone(Job &job, const Run &run, int ranMs);
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
+    void takeBackWork(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
     void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
     void withdrawRuns(const std::string &jobId, MonotonicTime now);
-    Milliseconds retryAfterDelay() const;
+    Milliseconds retryAfterDelay(const Job &job, MonotonicTime now);
 
     const WorkSchedulerOptions options_;
     WorkerDirectory &directory_;
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
     CrashContainment containment_;
+    DrainRate drainRate_;
+    JobAdmission admission_;
     StartedJobs startedJobs_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
@@ -215,10 +226,6 @@
     int64_t lastRunNumber_ = 0;
     int64_t lastSubmission_ = 0;
     double retryBudget_ = 5;
-    double dispatchedWork_ = 0; ///< Dispatched since drainMeasuredAt_.
-    double drainRate_ = 0; ///< Work dispatched per millisecond while jobs waited.
-    MonotonicTime drainMeasuredAt_;
-    bool wasBacklogged_ = false; ///< Whether jobs have waited without a break since drainMeasuredAt_.
     MonotonicTime lastCheckAt_;
     WorkOutbox out_;
     std::vector<CallResponse> responses_;
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -101,6 +101,7 @@
     options.incarnation = absl::StrCat(options.name, "-", node.generation);
     options.linkAddress = addressOf(entry);
     options.directory.subset = options_.subset;
+    options.scheduler.admission = options_.admission;
     options.scheduler.selector.seed = options_.seed + static_cast<uint64_t>(node.generation);
     node.core = std::make_unique<WorkEntry>(options);
     deliverToEntry(entry, node.generation, OperatorStatePolled{makeOperatorState()});
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -27,6 +27,7 @@
     int agents = 5;
     int domains = 1; ///< Failure domains, to which the workers belong in rotation.
     WorkerSubsetOptions subset; ///< Of the workers that each entry uses.
+    bool admission = false; ///< The setting of the entries.
     int capacityCpuMillis = 32'000; ///< Base capacity of a worker, in thousandths of a core.
     std::vector<double> sizeFactors{1}; ///< Multipliers of capacityCpuMillis, assigned to the workers in rotation.
     std::vector<double> speedFactors{1}; ///< Relative speeds, assigned to the workers in rotation.
