Move what a job needs and the critical path out of WorkScheduler

Change: makeNeeds(), criticalPathLength() and DrainRate::timeFor() hold the computations; no behaviour changes.

--- a/request/drain_rate.h
+++ b/request/drain_rate.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 
+#include <cstdint>
+
 namespace marjoramferry {
 
 /** Moving average of the work dispatched per millisecond while jobs wait, in thousandths of a core. */
@@ -16,10 +18,16 @@
     /** @p isWorkWaiting tells whether jobs wait at present. */
     void update(bool isWorkWaiting, MonotonicTime now);
 
-    /** 0 until work was dispatched. */
-    double rate() const
+    /** Whether work was dispatched. */
+    bool isKnown() const
+    {
+        return rate_ > 0;
+    }
+
+    /** The time in which this work is dispatched. */
+    Milliseconds timeFor(double work) const
     {
-        return rate_;
+        return Milliseconds(static_cast<int64_t>(work / rate_));
     }
 
 private:
--- a/request/job_admission.cpp
+++ b/request/job_admission.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** A response should reach its caller this long before the caller's timeout. */
+constexpr Milliseconds ResponseMargin{20};
+/** An answer after this many times the objective is worth nothing to its caller. */
+constexpr int UsefulObjectives = 3;
 /** Share of the expected run time by which a job may end early; estimates are off by 40%, their means by less. */
 constexpr double RunTimeError = 0.25;
 /** Standard errors of the capacity that count in favour of an arriving job, and of one that was admitted before. */
@@ -66,12 +70,35 @@
     return "";
 }
 
-JobProspect prospectAt(JobProspect onArrival, const JobNeeds &job, MonotonicTime worthlessAt, MonotonicTime now)
+JobNeeds makeNeeds(const wire::Route &route,
+                   int tasks,
+                   double work,
+                   Milliseconds runTime,
+                   Milliseconds timeout,
+                   double startMargin,
+                   MonotonicTime now)
+{
+    const auto objective
+        = std::chrono::duration_cast<Milliseconds>(runTime * route.stretch) + Milliseconds(route.targetLatencyMs);
+    JobNeeds needs;
+    needs.queue = route.name;
+    needs.priority = route.priority;
+    needs.tasks = tasks;
+    needs.work = work;
+    needs.runTime = runTime;
+    needs.latestStartAt = now + objective - std::chrono::duration_cast<Milliseconds>(runTime * (1 + startMargin));
+    needs.usefulUntil = now + objective * UsefulObjectives;
+    needs.answerBy = now + timeout - ResponseMargin;
+    needs.worthlessAt = needs.usefulUntil - runTime;
+    return needs;
+}
+
+JobProspect prospectAt(JobProspect onArrival, const JobNeeds &job, MonotonicTime now)
 {
     if (now <= job.latestStartAt) {
         return onArrival;
     }
-    const bool isUseful = onArrival <= JobProspect::Late && now < worthlessAt;
+    const bool isUseful = onArrival <= JobProspect::Late && now < job.worthlessAt;
     return isUseful ? JobProspect::Late : JobProspect::Leftover;
 }
 
--- a/request/job_admission.h
+++ b/request/job_admission.h
@@ -36,11 +36,22 @@
     MonotonicTime usefulUntil; ///< An answer after this is worth nothing to the caller.
     MonotonicTime answerBy; ///< A later answer misses the caller's timeout.
 
+    MonotonicTime worthlessAt; ///< A job that starts later is worth nothing to its caller.
+
     bool operator==(const JobNeeds &) const = default;
 };
 
-/** The prospect of a job that still waits, given that on arrival, and the time from which it is of no use. */
-JobProspect prospectAt(JobProspect onArrival, const JobNeeds &job, MonotonicTime worthlessAt, MonotonicTime now);
+/** @p startMargin is the share of the expected run time by which the job should start early. */
+JobNeeds makeNeeds(const wire::Route &route,
+                   int tasks,
+                   double work,
+                   Milliseconds runTime,
+                   Milliseconds timeout,
+                   double startMargin,
+                   MonotonicTime now);
+
+/** The prospect of a job that still waits, given that on arrival. */
+JobProspect prospectAt(JobProspect onArrival, const JobNeeds &job, MonotonicTime now);
 
 /**
  * Classifies jobs by the time at which their last task is expected to end, for the load "a burst beyond capacity".
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace marjoramferry {
@@ -16,10 +15,6 @@
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
 constexpr int64_t LateRankOffsetMs = 60'000;
-/** A response should reach its caller this long before the caller's timeout. */
-constexpr Milliseconds ResponseMargin{20};
-/** An answer after this many times the objective is worth nothing to its caller. */
-constexpr int UsefulObjectives = 3;
 /** Interval between scans of all jobs and runs for passed deadlines. */
 constexpr Milliseconds CheckInterval{10};
 constexpr Milliseconds MinRetryAfter{1000};
@@ -68,33 +63,24 @@
         step.remainingTasks = definition.count;
         step.expectedRunTime = runTimes_.estimateRunTime(route.name, definition.estimate);
         job.remainingTasks += definition.count;
-        job.remainingWork
-            += static_cast<double>(step.expectedRunTime.count()) * definition.count * definition.demand.cpuMillis;
+        job.remainingWork += workOfTask(step) * definition.count;
         job.steps.push_back(std::move(step));
     }
     job.queuedTasks = job.remainingTasks;
     const Milliseconds criticalPath = expectedJobRunTime(call.job, route);
     const Milliseconds timeout = call.timeout.count() > 0 ? call.timeout : options_.defaultTimeout;
-    const auto objective
-        = std::chrono::duration_cast<Milliseconds>(criticalPath * route.stretch) + Milliseconds(route.targetLatencyMs);
+    job.needs
+        = makeNeeds(route, job.remainingTasks, job.remainingWork, criticalPath, timeout, options_.startMargin, now);
     job.arrivedAt = now;
-    job.latestStartAt
-        = now + objective - std::chrono::duration_cast<Milliseconds>(criticalPath * (1 + options_.startMargin));
+    job.latestStartAt = job.needs.latestStartAt;
     job.sortKey = job.latestStartAt + options_.priorityStep * route.priority;
     job.deadlineAt = now + timeout;
-    job.rejectAt = options_.admission
-        ? job.deadlineAt
-        : std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
-                   job.deadlineAt - ResponseMargin - criticalPath);
-    job.needs = JobNeeds{route.name,
-                         route.priority,
-                         job.remainingTasks,
-                         job.remainingWork,
-                         criticalPath,
-                         job.latestStartAt,
-                         now + objective * UsefulObjectives,
-                         job.deadlineAt - ResponseMargin};
-    job.worthlessAt = options_.admission ? job.needs.usefulUntil - criticalPath : MonotonicTime::max();
+    job.rejectAt = job.deadlineAt;
+    if (!options_.admission) {
+        job.needs.worthlessAt = MonotonicTime::max();
+        job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
+                                job.needs.answerBy - criticalPath);
+    }
     out_.log(LogEvent::Level::Info,
              "job_accepted",
              {{"request", job.requestId},
@@ -135,12 +121,10 @@
         job.prospect = admission_.classify(job.needs, workAhead, now);
         return job.prospect != JobProspect::Hopeless;
     }
-    if (queue_.empty() || drainRate_.rate() <= 0) {
+    if (queue_.empty() || !drainRate_.isKnown()) {
         return true;
     }
-    const auto expectedWait = [&] {
-        return Milliseconds(static_cast<int64_t>(workAheadOf(queuePositionOf(job, now)) / drainRate_.rate()));
-    };
+    const auto expectedWait = [&] { return drainRate_.timeFor(workAheadOf(queuePositionOf(job, now))); };
     const bool isExpectedLate = now + expectedWait() > job.latestStartAt;
     job.prospect = isExpectedLate ? JobProspect::Late : JobProspect::InTime;
     return !isExpectedLate || now + expectedWait() <= job.rejectAt;
@@ -168,8 +152,7 @@
 
 WorkScheduler::QueuePosition WorkScheduler::queuePositionOf(const Job &job, MonotonicTime now)
 {
-    const JobProspect prospect
-        = job.hasStarted ? JobProspect::InTime : prospectAt(job.prospect, job.needs, job.worthlessAt, now);
+    const JobProspect prospect = job.hasStarted ? JobProspect::InTime : prospectAt(job.prospect, job.needs, now);
     return QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id};
 }
 
@@ -252,15 +235,16 @@
     for (const std::string &id : expired) {
         finishJob(id, ResponseStatus::Interrupted, "deadline_passed", now);
     }
-    if (options_.admission) {
-        rejectHopelessJobs(now);
-    }
+    rejectHopelessJobs(now);
     updateQueuePositions(now);
 }
 
 /** Rejects the jobs without a started task that can't be answered in time behind the jobs that precede them. */
 void WorkScheduler::rejectHopelessJobs(MonotonicTime now)
 {
+    if (!options_.admission) {
+        return;
+    }
     std::vector<std::string> hopeless;
     double workAhead = 0;
     for (const QueuePosition &position : queue_) {
@@ -403,7 +387,7 @@
     ++task.attempt;
     --job.queuedTasks;
     job.hasStarted = true;
-    const double work = static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
+    const double work = workOfTask(step);
     job.remainingWork = std::max(0.0, job.remainingWork - work);
     drainRate_.recordDispatched(work);
     admission_.shares().recordDispatched(job.route.name, work, now);
@@ -609,9 +593,7 @@
         handleTaskFailed(job, run, now);
         return;
     case wire::RunOutcome::NOT_STARTED:
-        if (options_.admission) {
-            takeBackWork(job, run, now);
-        }
+        countReturnedWork(job, run, now);
         requeueTask(job, task, now);
         return;
     case wire::RunOutcome::GONE:
@@ -659,12 +641,13 @@
 }
 
 /** Counts the work of a returned task as waiting again instead of dispatched. */
-void WorkScheduler::takeBackWork(Job &job, const Run &run, MonotonicTime now)
+void WorkScheduler::countReturnedWork(Job &job, const Run &run, MonotonicTime now)
 {
-    const Step &step = job.steps[static_cast<size_t>(run.step)];
-    const double work = static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
-    job.remainingWork += work;
-    admission_.shares().recordDispatched(job.route.name, -work, now);
+    if (options_.admission) {
+        const double work = workOfTask(job.steps[static_cast<size_t>(run.step)]);
+        job.remainingWork += work;
+        admission_.shares().recordDispatched(job.route.name, -work, now);
+    }
 }
 
 void WorkScheduler::requeueTask(Job &job, Task &task, MonotonicTime now)
@@ -741,10 +724,7 @@
 
 Milliseconds WorkScheduler::retryAfterDelay(const Job &job, MonotonicTime now)
 {
-    const double waitingWork
-        = std::accumulate(queue_.begin(), queue_.end(), 0.0, [this](double sum, const QueuePosition &position) {
-              return sum + jobs_.at(position.jobId).remainingWork;
-          });
+    const double waitingWork = workAheadOf(QueuePosition{true, JobProspect::Hopeless, MonotonicTime::max(), ""});
     if (options_.admission) {
         return admission_.reserveReturn(job.needs, waitingWork, now);
     }
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -131,6 +131,12 @@
         Milliseconds expectedRunTime{0}; ///< Of one task, on a worker of average speed.
     };
 
+    /** In thousandths of a core times milliseconds. */
+    static double workOfTask(const Step &step)
+    {
+        return static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
+    }
+
     struct Job
     {
         std::string id;
@@ -143,7 +149,6 @@
         MonotonicTime arrivedAt;
         MonotonicTime latestStartAt; ///< A job that starts later counts as late.
         MonotonicTime sortKey; ///< Order in the queue: latestStartAt, shifted by the queue's priority.
-        MonotonicTime worthlessAt; ///< A job that starts later is worth nothing to its caller.
         MonotonicTime rejectAt; ///< A job that has not started by then is rejected.
         MonotonicTime deadlineAt;
         double remainingWork = 0; ///< Of the undispatched tasks, in thousandths of a core times milliseconds.
@@ -200,7 +205,7 @@
     endRun(int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now);
     void handleTaskDone(Job &job, const Run &run, int ranMs);
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
-    void takeBackWork(Job &job, const Run &run, MonotonicTime now);
+    void countReturnedWork(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
     void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
--- a/tests/request/job_admission_test.cpp
+++ b/tests/request/job_admission_test.cpp
@@ -14,14 +14,8 @@
 /** Arrived at @p now, with an objective of 380 ms and a timeout of 2 s. */
 JobNeeds statusJob(MonotonicTime now, double work = 400)
 {
-    return JobNeeds{"status",
-                    1,
-                    2,
-                    work,
-                    Milliseconds(200),
-                    now + Milliseconds(130),
-                    now + Milliseconds(1140),
-                    now + Milliseconds(1980)};
+    constexpr double StartMargin = 0.25;
+    return makeNeeds(testing::route("status", 1), 2, work, Milliseconds(200), Milliseconds(2000), StartMargin, now);
 }
 
 /** Dispatches work at the capacity for @p durationMs while jobs wait. */
