Name the job in the log lines of admission control

Cause: job_classified and return_reserved could not be matched to a job. Change: JobNeeds carries the job's id for the logs. Result: decision_tests and the cases of admission_test have the same results as before.

--- a/request/job_admission.cpp
+++ b/request/job_admission.cpp
@@ -128,7 +128,8 @@
         const CapacityEstimate &capacity = shares_.capacity();
         out_.log(LogEvent::Level::Info,
                  "job_classified",
-                 {{"queue", job.queue},
+                 {{"job", job.job},
+                  {"queue", job.queue},
                   {"prospect", jobProspectName(prospect)},
                   {"wait_ms", absl::StrCat(wait.count())},
                   {"capacity_cpu_millis", absl::StrCat(std::llround(capacity.rate()))},
@@ -184,7 +185,8 @@
     const ReturnSchedule::Return found = returns_.reserve(job.priority, job.work, earliest, left, now);
     out_.log(LogEvent::Level::Info,
              "return_reserved",
-             {{"queue", job.queue},
+             {{"job", job.job},
+              {"queue", job.queue},
               {"delay_ms", absl::StrCat(found.delay.count())},
               {"waiting_ms", absl::StrCat(earliest.count())},
               {"reserved_ms", absl::StrCat(std::llround(std::min(MaxWaitMs, found.reservedWork / left)))}});
--- a/request/job_admission.h
+++ b/request/job_admission.h
@@ -27,6 +27,7 @@
 /** What a job needs and until when. */
 struct JobNeeds
 {
+    std::string job; ///< For the logs.
     std::string queue;
     int priority = 0;
     int tasks = 0;
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -71,6 +71,7 @@
     const Milliseconds timeout = call.timeout.count() > 0 ? call.timeout : options_.defaultTimeout;
     job.needs
         = makeNeeds(route, job.remainingTasks, job.remainingWork, criticalPath, timeout, options_.startMargin, now);
+    job.needs.job = jobId;
     job.arrivedAt = now;
     job.latestStartAt = job.needs.latestStartAt;
     job.sortKey = job.latestStartAt + options_.priorityStep * route.priority;
