--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -26,7 +26,7 @@
 /** Likelihood ratio of a crash of one of the workers that only suspects use, at most half of all. */
 constexpr double GroupRatio = 2;
 /** A queue becomes a suspect at the first score, and is cleared below the second. */
-constexpr double SuspectScore = 2.6;
+constexpr double SuspectScore = 2.4;
 constexpr double ClearedScore = 1.8;
 constexpr double MaxScore = 5;
 constexpr double MinScore = -1;
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -3,7 +3,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace marjoramferry {
@@ -16,11 +15,6 @@
 constexpr int MaxUnplacedJobs = 4;
 /** Base rank of the runs of late jobs: at an agent they wait behind all runs that can still be in time. */
 constexpr int64_t LateRankOffsetMs = 60'000;
-/** A response should reach its caller this long before the caller's timeout. */
-constexpr Milliseconds ResponseMargin{20};
-/** Measurement window of the drain rate, and the weight of the previous value in the moving average. */
-constexpr Milliseconds DrainRateWindow{100};
-constexpr double PreviousDrainRateWeight = 0.6;
 /** Interval between scans of all jobs and runs for passed deadlines. */
 constexpr Milliseconds CheckInterval{10};
 constexpr Milliseconds MinRetryAfter{1000};
@@ -40,12 +34,8 @@
 
 Milliseconds WorkScheduler::expectedJobRunTime(const WorkJob &job, const wire::Route &route) const
 {
-    std::vector<Milliseconds> runTimes;
-    runTimes.reserve(job.steps.size());
-    for (const WorkStep &step : job.steps) {
-        runTimes.push_back(runTimes_.estimateRunTime(route.name, step.estimate));
-    }
-    return criticalPathLength(job.steps, runTimes);
+    return criticalPathLength(
+        job.steps, [&](const WorkStep &step) { return runTimes_.estimateRunTime(route.name, step.estimate); });
 }
 
 WorkScheduler::Job WorkScheduler::makeJob(const SubmitWork &call,
@@ -66,22 +56,25 @@
         step.remainingTasks = definition.count;
         step.expectedRunTime = runTimes_.estimateRunTime(route.name, definition.estimate);
         job.remainingTasks += definition.count;
-        job.remainingWork
-            += static_cast<double>(step.expectedRunTime.count()) * definition.count * definition.demand.cpuMillis;
+        job.remainingWork += workOfTask(step) * definition.count;
         job.steps.push_back(std::move(step));
     }
     job.queuedTasks = job.remainingTasks;
     const Milliseconds criticalPath = expectedJobRunTime(call.job, route);
     const Milliseconds timeout = call.timeout.count() > 0 ? call.timeout : options_.defaultTimeout;
-    const auto objective
-        = std::chrono::duration_cast<Milliseconds>(criticalPath * route.stretch) + Milliseconds(route.targetLatencyMs);
+    job.needs
+        = makeNeeds(route, job.remainingTasks, job.remainingWork, criticalPath, timeout, options_.startMargin, now);
+    job.needs.job = jobId;
     job.arrivedAt = now;
-    job.latestStartAt
-        = now + objective - std::chrono::duration_cast<Milliseconds>(criticalPath * (1 + options_.startMargin));
+    job.latestStartAt = job.needs.latestStartAt;
     job.sortKey = job.latestStartAt + options_.priorityStep * route.priority;
     job.deadlineAt = now + timeout;
-    job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
-                            job.deadlineAt - ResponseMargin - criticalPath);
+    job.rejectAt = job.deadlineAt;
+    if (!options_.admission) {
+        job.needs.worthlessAt = MonotonicTime::max();
+        job.rejectAt = std::min(now + std::chrono::duration_cast<Milliseconds>(timeout * options_.queueTimeShare),
+                                job.needs.answerBy - criticalPath);
+    }
     return job;
 }
 
@@ -108,7 +101,7 @@
               {"expected_ms", absl::StrCat(runTime.count())},
               {"deadline_ms", absl::StrCat(millisecondsBetween(now, job.deadlineAt))},
               {"waiting_jobs", absl::StrCat(queue_.size())}});
-    const bool isAdmitted = admitJob(job, now);
+    const bool isAdmitted = admitJob(job, admission_, now);
     Job &added = jobs_[jobId] = std::move(job);
     containment_.recordJob(route, added.remainingWork, runTime / std::max<int64_t>(1, std::ssize(added.steps)), now);
     if (const CrashVerdict verdict = containment_.verdictOnJob(jobId); verdict != CrashVerdict::MayStart) {
@@ -127,51 +120,51 @@
 }
 
 /**
- * Predicts when the job would start behind the jobs that precede it. A job expected to be late is queued behind
- * all jobs that can be in time; a late job expected to start only after its rejectAt is refused at once.
+ * Predicts how the job would end behind the jobs that precede it. Without admission control, a job expected to be late
+ * is queued behind all jobs that can be in time; one expected to start only after its rejectAt is refused at once.
  */
-bool WorkScheduler::admitJob(Job &job, MonotonicTime now) const
+bool WorkScheduler::admitJob(Job &job, JobAdmission &admission, MonotonicTime now) const
 {
-    if (queue_.empty() || drainRate_ <= 0) {
-        return true;
+    const auto workAhead = [&](JobProspect prospect) {
+        return workAheadOf(QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id});
+    };
+    if (options_.admission) {
+        job.prospect = admission.classify(job.needs, workAhead, now);
+        return job.prospect != JobProspect::Hopeless;
     }
-    const Milliseconds wait = expectedWait(queuePositionOf(job, now));
-    job.isExpectedLate = now + wait > job.latestStartAt;
-    if (!job.isExpectedLate) {
+    if (queue_.empty() || !drainRate_.isKnown()) {
         return true;
     }
-    // As a late job it waits behind all jobs that can be in time.
-    return now + expectedWait(queuePositionOf(job, now)) <= job.rejectAt;
+    const auto expectedWait = [&] { return drainRate_.timeFor(workAheadOf(queuePositionOf(job, now))); };
+    const bool isExpectedLate = now + expectedWait() > job.latestStartAt;
+    job.prospect = isExpectedLate ? JobProspect::Late : JobProspect::InTime;
+    return !isExpectedLate || now + expectedWait() <= job.rejectAt;
 }
 
-Milliseconds WorkScheduler::expectedWait(const QueuePosition &position) const
+double WorkScheduler::workAheadOf(const QueuePosition &position) const
 {
     double workAhead = 0;
     for (auto each = queue_.begin(); each != queue_.end() && *each < position; ++each) {
         workAhead += jobs_.at(each->jobId).remainingWork;
     }
-    return Milliseconds(static_cast<int64_t>(workAhead / drainRate_));
+    return workAhead;
 }
 
-/** Updates the moving average of the rate at which waiting jobs are dispatched. */
-void WorkScheduler::updateDrainRate(MonotonicTime now)
+/** Adapts the capacity estimate to workers that became unusable. */
+void WorkScheduler::followCapacity(const OperatorStateCache &operatorState, MonotonicTime now)
 {
-    if (now - drainMeasuredAt_ >= DrainRateWindow) {
-        const double rate = dispatchedWork_ / std::max(1, millisecondsBetween(drainMeasuredAt_, now));
-        const double previousWeight = drainRate_ > 0 ? PreviousDrainRateWeight : 0;
-        drainRate_
-            = wasBacklogged_ ? drainRate_ * previousWeight + rate * (1 - previousWeight) : std::max(drainRate_, rate);
-        dispatchedWork_ = 0;
-        drainMeasuredAt_ = now;
-        wasBacklogged_ = true;
+    double usable = 0;
+    for (const WorkerView *view : directory_.activeViews()) {
+        const bool isUsable = directory_.isUsable(*view, now) && !operatorState.isEvacuated(view->state.domain);
+        usable += isUsable ? view->state.capacity.cpuMillis : 0;
     }
-    wasBacklogged_ = wasBacklogged_ && !queue_.empty();
+    admission_.shares().followCapacity(usable);
 }
 
 WorkScheduler::QueuePosition WorkScheduler::queuePositionOf(const Job &job, MonotonicTime now)
 {
-    const bool isLate = !job.hasStarted && (job.isExpectedLate || job.latestStartAt < now);
-    return QueuePosition{isLate, job.sortKey, job.id};
+    const JobProspect prospect = job.hasStarted ? JobProspect::InTime : prospectAt(job.prospect, job.needs, now);
+    return QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id};
 }
 
 void WorkScheduler::enqueueJob(Job &job, MonotonicTime now)
@@ -219,14 +212,16 @@
 
 void WorkScheduler::schedule(const OperatorStateCache &operatorState, MonotonicTime now)
 {
-    updateDrainRate(now);
+    drainRate_.update(!queue_.empty(), now);
     containment_.update(operatorState, now);
     if (now - lastCheckAt_ >= CheckInterval) {
         lastCheckAt_ = now;
+        followCapacity(operatorState, now);
         withdrawOverdueRuns(now);
         checkDeadlines(now);
     }
     dispatchTasks(operatorState, now);
+    admission_.shares().endPass(!queue_.empty(), now);
     reportWaitingWork(now);
 }
 
@@ -251,11 +246,12 @@
                                             MonotonicTime now) const
 {
     Job job = makeJob(call, route, "", now);
-    const bool isAdmitted = admitJob(job, now);
+    JobAdmission admission = admission_; // The explanation must not count as an arrival.
+    const bool isAdmitted = admitJob(job, admission, now);
     const QueuePosition position = queuePositionOf(job, now);
     PlacementExplanation result;
     result.expectedRunTime = expectedJobRunTime(call.job, route);
-    result.expectedWait = drainRate_ > 0 ? expectedWait(position) : Milliseconds(0);
+    result.expectedWait = drainRate_.isKnown() ? drainRate_.timeFor(workAheadOf(position)) : Milliseconds(0);
     result.isExpectedLate = position.isLate;
     result.waitingJobs = queue_.size();
     result.isIsolated = containment_.isIsolated(route);
@@ -292,17 +288,38 @@
     for (const std::string &id : expired) {
         finishJob(id, ResponseStatus::Interrupted, "deadline_passed", now);
     }
-    // Jobs that became late move behind those that can still be in time.
-    std::vector<QueuePosition> outdated;
+    rejectHopelessJobs(now);
+    updateQueuePositions(now);
+}
+
+/** Rejects the jobs without a started task that can't be answered in time behind the jobs that precede them. */
+void WorkScheduler::rejectHopelessJobs(MonotonicTime now)
+{
+    if (!options_.admission) {
+        return;
+    }
+    std::vector<std::string> hopeless;
+    double workAhead = 0;
     for (const QueuePosition &position : queue_) {
         const Job &job = jobs_.at(position.jobId);
-        if (position.isLate) {
-            break;
-        }
-        if (!job.hasStarted && job.latestStartAt < now) {
-            outdated.push_back(position);
+        if (!job.hasStarted && admission_.isHopeless(job.needs, position.prospect, workAhead, now)) {
+            hopeless.push_back(job.id);
+            continue;
         }
+        workAhead += job.remainingWork;
     }
+    std::ranges::for_each(hopeless,
+                          [&](const std::string &id) { finishJob(id, ResponseStatus::Rejected, "overload", now); });
+}
+
+/** Jobs that became late move behind those that can still be in time. */
+void WorkScheduler::updateQueuePositions(MonotonicTime now)
+{
+    std::vector<QueuePosition> outdated;
+    std::ranges::copy_if(queue_, std::back_inserter(outdated), [&](const QueuePosition &position) {
+        const Job &job = jobs_.at(position.jobId);
+        return !job.hasStarted && queuePositionOf(job, now) != position;
+    });
     for (const QueuePosition &position : outdated) {
         queue_.erase(position);
         queuePositions_.erase(position.jobId);
@@ -423,9 +440,10 @@
     ++task.attempt;
     --job.queuedTasks;
     job.hasStarted = true;
-    const double work = static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
+    const double work = workOfTask(step);
     job.remainingWork = std::max(0.0, job.remainingWork - work);
-    dispatchedWork_ += work;
+    drainRate_.recordDispatched(work);
+    admission_.shares().recordDispatched(job.route.name, work, now);
     const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.sortKey - now).count();
     wire::RunOrder order;
     order.runNumber = ++lastRunNumber_;
@@ -574,6 +592,7 @@
 std::vector<WorkCommand> WorkScheduler::takeCommands()
 {
     std::vector<WorkCommand> commands = containment_.takeCommands();
+    std::ranges::move(admission_.takeCommands(), std::back_inserter(commands));
     std::ranges::move(out_.take(), std::back_inserter(commands));
     return commands;
 }
@@ -621,6 +640,7 @@
         handleTaskFailed(job, run, now);
         return;
     case wire::RunOutcome::NOT_STARTED:
+        countReturnedWork(job, run, now);
         requeueTask(job, task, now);
         return;
     case wire::RunOutcome::GONE:
@@ -667,6 +687,16 @@
     requeueTask(job, task, now);
 }
 
+/** Counts the work of a returned task as waiting again instead of dispatched. */
+void WorkScheduler::countReturnedWork(Job &job, const Run &run, MonotonicTime now)
+{
+    if (options_.admission) {
+        const double work = workOfTask(job.steps[static_cast<size_t>(run.step)]);
+        job.remainingWork += work;
+        admission_.shares().recordDispatched(job.route.name, -work, now);
+    }
+}
+
 void WorkScheduler::requeueTask(Job &job, Task &task, MonotonicTime now)
 {
     task.state = TaskState::Queued;
@@ -700,7 +730,7 @@
     }
     withdrawRuns(jobId, now);
     const bool isRejected = status == ResponseStatus::Rejected;
-    const Milliseconds retryAfter = isRejected ? retryAfterDelay() : Milliseconds(0);
+    const Milliseconds retryAfter = isRejected ? retryAfterDelay(job, now) : Milliseconds(0);
     for (const uint64_t token : job.tokens) {
         jobsByToken_.erase(token);
         CallResponse response;
@@ -739,12 +769,12 @@
     }
 }
 
-Milliseconds WorkScheduler::retryAfterDelay() const
+Milliseconds WorkScheduler::retryAfterDelay(const Job &job, MonotonicTime now)
 {
-    const double waitingWork
-        = std::accumulate(queue_.begin(), queue_.end(), 0.0, [this](double sum, const QueuePosition &position) {
-              return sum + jobs_.at(position.jobId).remainingWork;
-          });
+    const double waitingWork = workAheadOf(QueuePosition{true, JobProspect::Hopeless, MonotonicTime::max(), ""});
+    if (options_.admission) {
+        return admission_.reserveReturn(job.needs, waitingWork, now);
+    }
     double capacity = 1;
     for (const auto &[agent, view] : directory_.views()) {
         capacity += view.state.capacity.cpuMillis;
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -2,6 +2,8 @@
 
 #include "core/time.h"
 #include "request/crash_containment.h"
+#include "request/drain_rate.h"
+#include "request/job_admission.h"
 #include "request/operator_state_cache.h"
 #include "request/placement_explainer.h"
 #include "request/run_time_estimator.h"
@@ -140,6 +142,12 @@
         Milliseconds expectedRunTime{0}; ///< Of one task, on a worker of average speed.
     };
 
+    /** In thousandths of a core times milliseconds. */
+    static double workOfTask(const Step &step)
+    {
+        return static_cast<double>(step.expectedRunTime.count()) * step.definition.demand.cpuMillis;
+    }
+
     struct Job
     {
         std::string id;
@@ -155,7 +163,8 @@
         MonotonicTime rejectAt; ///< A job that has not started by then is rejected.
         MonotonicTime deadlineAt;
         double remainingWork = 0; ///< Of the undispatched tasks, in thousandths of a core times milliseconds.
-        bool isExpectedLate = false; ///< Predicted on arrival to start after latestStartAt.
+        JobNeeds needs; ///< As of the job's arrival.
+        JobProspect prospect = JobProspect::InTime; ///< Predicted on arrival.
         int queuedTasks = 0; ///< Tasks that wait for dispatch.
         int remainingTasks = 0; ///< Tasks that are not done.
         bool hasStarted = false;
@@ -179,7 +188,8 @@
     /** Sort key of a job in the queue. */
     struct QueuePosition
     {
-        bool isLate = false;
+        bool isLate = false; ///< Served after the jobs in time, with the rest of the capacity.
+        JobProspect prospect = JobProspect::InTime;
         MonotonicTime sortKey;
         std::string jobId;
 
@@ -188,9 +198,11 @@
 
     Job makeJob(const SubmitWork &call, const wire::Route &route, const std::string &jobId, MonotonicTime now) const;
     static QueuePosition queuePositionOf(const Job &job, MonotonicTime now);
-    bool admitJob(Job &job, MonotonicTime now) const;
-    Milliseconds expectedWait(const QueuePosition &position) const;
-    void updateDrainRate(MonotonicTime now);
+    bool admitJob(Job &job, JobAdmission &admission, MonotonicTime now) const;
+    double workAheadOf(const QueuePosition &position) const;
+    void followCapacity(const OperatorStateCache &operatorState, MonotonicTime now);
+    void rejectHopelessJobs(MonotonicTime now);
+    void updateQueuePositions(MonotonicTime now);
     void enqueueJob(Job &job, MonotonicTime now);
     void reportWaitingWork(MonotonicTime now);
     void checkDeadlines(MonotonicTime now);
@@ -206,17 +218,20 @@
     endRun(int64_t number, wire::RunOutcome::type outcome, const std::string &reason, int ranMs, MonotonicTime now);
     void handleTaskDone(Job &job, const Run &run, int ranMs);
     void handleTaskFailed(Job &job, const Run &run, MonotonicTime now);
+    void countReturnedWork(Job &job, const Run &run, MonotonicTime now);
     void requeueTask(Job &job, Task &task, MonotonicTime now);
     void finishJob(const std::string &jobId, ResponseStatus status, const std::string &reason, MonotonicTime now);
     void giveUpAfterCrashes(const std::string &jobId, CrashVerdict verdict, MonotonicTime now);
     void withdrawRuns(const std::string &jobId, MonotonicTime now);
-    Milliseconds retryAfterDelay() const;
+    Milliseconds retryAfterDelay(const Job &job, MonotonicTime now);
 
     const WorkSchedulerOptions options_;
     WorkerDirectory &directory_;
     RunTimeEstimator runTimes_;
     WorkerHealth health_;
     CrashContainment containment_;
+    DrainRate drainRate_;
+    JobAdmission admission_;
     StartedJobs startedJobs_;
     WorkerSelector selector_;
     absl::flat_hash_map<std::string, Job> jobs_;
@@ -228,10 +243,6 @@
     int64_t lastRunNumber_ = 0;
     int64_t lastSubmission_ = 0;
     double retryBudget_ = 5;
-    double dispatchedWork_ = 0; ///< Dispatched since drainMeasuredAt_.
-    double drainRate_ = 0; ///< Work dispatched per millisecond while jobs waited.
-    MonotonicTime drainMeasuredAt_;
-    bool wasBacklogged_ = false; ///< Whether jobs have waited without a break since drainMeasuredAt_.
     MonotonicTime lastCheckAt_;
     WorkOutbox out_;
     std::vector<CallResponse> responses_;
--- a/request/work_types.cpp
+++ b/request/work_types.cpp
@@ -4,7 +4,8 @@
 
 namespace marjoramferry {
 
-Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes)
+Milliseconds criticalPathLength(const std::vector<WorkStep> &steps,
+                                const std::function<Milliseconds(const WorkStep &)> &runTimeOf)
 {
     std::vector<Milliseconds> ends(steps.size());
     Milliseconds longest{0};
@@ -13,7 +14,7 @@
         for (const int dependency : steps[i].dependencies) {
             start = std::max(start, ends[static_cast<size_t>(dependency)]);
         }
-        ends[i] = start + runTimes[i];
+        ends[i] = start + runTimeOf(steps[i]);
         longest = std::max(longest, ends[i]);
     }
     return longest;
--- a/request/work_types.h
+++ b/request/work_types.h
@@ -4,6 +4,7 @@
 #include "request/demand.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -26,7 +27,8 @@
 };
 
 /** Length of the critical path through the steps, given the expected run time of each. */
-Milliseconds criticalPathLength(const std::vector<WorkStep> &steps, const std::vector<Milliseconds> &runTimes);
+Milliseconds criticalPathLength(const std::vector<WorkStep> &steps,
+                                const std::function<Milliseconds(const WorkStep &)> &runTimeOf);
 
 struct WorkJob
 {
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -103,6 +103,7 @@
     options.directory.subset = options_.subset;
     options.directory.offers = options_.offers;
     options.scheduler.selector.offers = options_.offers;
+    options.scheduler.admission = options_.admission;
     options.scheduler.selector.seed = options_.seed + static_cast<uint64_t>(node.generation);
     node.core = std::make_unique<WorkEntry>(options);
     deliverToEntry(entry, node.generation, OperatorStatePolled{makeOperatorState()});
