--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -189,8 +189,6 @@
     options.scheduler.selector.remoteSlowdown
         = ini.decimal("platform", "remote_slowdown", options.scheduler.selector.remoteSlowdown, 1, MaxSlowdown);
     options.scheduler.admission = ini.boolean(SchedulingSection, "admission", false);
-    options.scheduler.reservations = ini.boolean(SchedulingSection, "reservations", false);
-    options.scheduler.selector.workerSpeed = ini.boolean(SchedulingSection, "worker_speed", false);
     options.scheduler.selector.offers = ini.boolean(SchedulingSection, "offers", false);
     options.directory.offers = options.scheduler.selector.offers;
     settings.store.address = ini.address("platform", "store");
@@ -224,8 +222,6 @@
                     absl::StrCat("use at most ", maxLease.count(), "ms"));
     }
     options.worker.maxPollWait = ini.duration(Section, "watch", options.worker.maxPollWait);
-    options.reservations = ini.boolean(SchedulingSection, "reservations", false);
-    options.workerSpeed = ini.boolean(SchedulingSection, "worker_speed", false);
     options.offers = ini.boolean(SchedulingSection, "offers", false);
     settings.store.address = ini.address("platform", "store");
     settings.store.timeout = ini.duration("platform", "store_timeout", Milliseconds(400));
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -46,8 +46,6 @@
     Milliseconds shutdownTimeout{5200}; ///< The process exits this long after a drain request, even if runs remain.
     int64_t initialFence = 0; ///< Higher than any fence of an earlier incarnation.
     bool offers = false; ///< Offers scarce capacity to the entry with the most urgent waiting work.
-    bool reservations = false; ///< Reports when runs are expected to release capacity.
-    bool workerSpeed = false; ///< Measures and reports the slowdown of the worker.
 };
 
 /** The list of entries was read from the store. */
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -44,7 +44,6 @@
     /** A job precedes one of the next lower priority whose latest start is up to this much earlier. */
     Milliseconds priorityStep{60};
     bool admission = false; ///< Judges arriving jobs by their queue's share and expected end.
-    bool reservations = false; ///< Reserves capacity for jobs that don't fit, and backfills around them.
 };
 
 /**
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -32,7 +32,6 @@
     double lateReserve = 0.25;
     double remoteSlowdown = 1.5; ///< Factor by which tasks run longer on a worker without their data.
     uint64_t seed = 1;
-    bool workerSpeed = false; ///< Uses the slowdown that agents report.
     bool offers = false; ///< Sends a run to a full worker only if it is likely to start within the queue timeout.
     Milliseconds queueTimeout{25}; ///< Equals WorkSchedulerOptions::agentQueueTimeout.
 };
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -130,18 +130,14 @@
 {
     const auto entry = [](const std::string &text) { return settingsOf<WorkEntrySettings>(ValidWorkEntry + text); };
     const auto agent = [](const std::string &text) { return settingsOf<WorkAgentSettings>(ValidWorkAgent + text); };
-    const std::string all = "[scheduling]\nadmission = true\noffers = true\nreservations = true\nworker_speed = true\n";
+    const std::string all = "[scheduling]\nadmission = true\noffers = true\n";
     for (const bool isEnabled : {false, true}) {
         const WorkEntryOptions entryOptions = entry(isEnabled ? all : "").options;
         CHECK(entryOptions.scheduler.admission == isEnabled);
-        CHECK(entryOptions.scheduler.reservations == isEnabled);
-        CHECK(entryOptions.scheduler.selector.workerSpeed == isEnabled);
         CHECK(entryOptions.scheduler.selector.offers == isEnabled);
         CHECK(entryOptions.directory.offers == isEnabled);
-        const std::string agentKeys = "[scheduling]\noffers = true\nreservations = true\nworker_speed = true\n";
+        const std::string agentKeys = "[scheduling]\noffers = true\n";
         const WorkAgentOptions agentOptions = agent(isEnabled ? agentKeys : "").options;
         CHECK(agentOptions.offers == isEnabled);
-        CHECK(agentOptions.reservations == isEnabled);
-        CHECK(agentOptions.workerSpeed == isEnabled);
     }
 }
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -281,12 +281,8 @@
     1: Demand unclaimed,
     /** Accepts new runs: it is synchronized, responds and is not about to leave. */
     2: bool takesRuns = false,
-    /** Processor capacity that runs are expected to release, by ascending time; at most 4 steps. */
+    /** Processor capacity that runs are expected to release, by ascending time; at most 4 steps. Empty in this version. */
     3: list<CapacityStep> forecast,
-    /** Run time on this worker, in percent of the run time on a reference worker. 0 if it is not known. */
-    4: i32 slowdownPercent = 0,
-    /** Standard error of slowdownPercent, in percent of its value. */
-    5: i32 slowdownErrorPercent = 0,
 }
 
 /** Entry to agent: run one task once. The entry assigns the run numbers. */
@@ -307,8 +303,6 @@
     10: string requestId,
     /** The queue of the job, named again in reports of crashes. */
     11: string queue,
-    /** Expected run time on a reference worker, in milliseconds. 0 if the entry does not estimate it. */
-    12: i32 expectedMs = 0,
 }
 
 /** What waits at an entry for a worker of one service. */
