--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -19,7 +19,7 @@
 constexpr double EarlyCrashShare = 0.85;
 constexpr double EarlyCrashMs = 5;
 constexpr double LaterCrashMs = 100;
-/** Bounds the evidence of the crashes of one instant, so that they alone isolate no queue. */
+/** Bounds the evidence of the crashes of one instant. */
 constexpr double MaxChange = 2.5;
 /** Change of a suspect's score if a worker that it does not use crashes, or one under another suspect's run. */
 constexpr double OtherWorkerScore = -0.7;
