--- a/tests/request/crash_warnings_test.cpp
+++ b/tests/request/crash_warnings_test.cpp
@@ -63,7 +63,7 @@
     CHECK(warnings.queues().empty());
 }
 
-TEST_CASE("A crash of a worker that only queues under a warning use says nothing about the other queues, and the reverse")
+TEST_CASE("A crash in the group of queues under a warning says nothing about the other queues, and the reverse")
 {
     CrashWarnings warnings = withThreeQueues();
     warnings.recordCrash(crashOf({"many", "some"}), false, Start);
