--- a/request/crash_suspicion.cpp
+++ b/request/crash_suspicion.cpp
@@ -58,6 +58,11 @@
 
 } // namespace
 
+CrashSuspicion::CrashSuspicion()
+    : scores_(QueueScoreLimits{ScoreHalfLife, SuspectScore, ClearedScore, MinScore, MaxScore})
+{
+}
+
 void CrashSuspicion::recordJob(const std::string &queue, double work, Milliseconds runTime, MonotonicTime now)
 {
     Load &load = loads_[queue];
@@ -70,7 +75,7 @@
 {
     double all = 0;
     for (const auto &[name, load] : loads_) {
-        all += !isAmongSuspects || suspects_.contains(name) ? load.work.at(now) : 0;
+        all += !isAmongSuspects || suspects().contains(name) ? load.work.at(now) : 0;
     }
     const auto found = loads_.find(queue);
     const double share = found == loads_.end() || all <= 0 ? 0 : found->second.work.at(now) / all;
@@ -109,7 +114,7 @@
             sum += weight * crashDensity(std::max(run.ageMs, 0)) * runTimeMs;
         }
     }
-    const double runs = static_cast<double>(std::max<size_t>(crash.runs.size(), 1));
+    const auto runs = static_cast<double>(crash.runs.size());
     return (1 - OtherCauseShare) * sum / runs / shareOfWork(queue, isForSuspects, now) + OtherCauseShare;
 }
 
@@ -125,9 +130,9 @@
     const auto hasRun = [&](const std::string &queue) {
         return std::ranges::any_of(crash.runs, [&](const wire::CrashedRun &run) { return run.queue == queue; });
     };
-    const bool isExplained = std::ranges::any_of(suspects_, hasRun);
+    const bool isExplained = std::ranges::any_of(suspects(), hasRun);
     for (const std::string &queue : queues) {
-        const bool isSuspect = suspects_.contains(queue);
+        const bool isSuspect = suspects().contains(queue);
         if (!hasRun(queue) && !isSuspect && isForSuspects) {
             continue; // The queue does not use this worker, so the crash says nothing about it.
         }
@@ -146,7 +151,7 @@
         double &before = scoresBefore_.try_emplace(queue, 0).first->second;
         before = isSimultaneous ? before : score(queue, crashedAt);
         const double changed = std::min(score(queue, crashedAt) + change, before + MaxChange);
-        scores_.try_emplace(queue, ScoreHalfLife).first->second.set(std::clamp(changed, MinScore, MaxScore), crashedAt);
+        scores_.set(queue, changed, crashedAt);
     }
     for (const wire::CrashedRun &run : crash.runs) {
         const double isLost = lostTasks_.contains(taskOf(run)) ? 1 : 0;
@@ -158,33 +163,12 @@
     for (const wire::CrashedRun &run : crash.runs) {
         lostTasks_.insert(taskOf(run));
     }
-    addSuspect(now);
-}
-
-/** Adds the queue with the highest score, unless no other queue would be left. */
-void CrashSuspicion::addSuspect(MonotonicTime now)
-{
-    std::string highest;
-    for (const auto &[queue, value] : scores_) {
-        if (!suspects_.contains(queue) && score(queue, now) >= SuspectScore
-            && (highest.empty() || score(queue, now) > score(highest, now))) {
-            highest = queue;
-        }
-    }
-    if (!highest.empty() && suspects_.size() + 1 < loads_.size()) {
-        suspects_.insert(highest);
-    }
+    scores_.markHighest(loads_.size(), now);
 }
 
 void CrashSuspicion::update(MonotonicTime now)
 {
-    std::erase_if(suspects_, [&](const std::string &queue) { return score(queue, now) < ClearedScore; });
-}
-
-double CrashSuspicion::score(const std::string &queue, MonotonicTime now) const
-{
-    const auto found = scores_.find(queue);
-    return found == scores_.end() ? 0 : found->second.at(now);
+    scores_.update(now);
 }
 
 } // namespace marjoramferry
--- a/request/crash_suspicion.h
+++ b/request/crash_suspicion.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "request/decaying_count.h"
+#include "request/queue_scores.h"
 
 #include <messages_types.h>
 
@@ -24,6 +25,8 @@
 class CrashSuspicion
 {
 public:
+    CrashSuspicion();
+
     /** Records a job of the queue: its work, on any scale, and the run time of its tasks on average. */
     void recordJob(const std::string &queue, double work, Milliseconds runTime, MonotonicTime now);
 
@@ -35,10 +38,13 @@
 
     const std::set<std::string> &suspects() const
     {
-        return suspects_;
+        return scores_.marked();
     }
 
-    double score(const std::string &queue, MonotonicTime now) const;
+    double score(const std::string &queue, MonotonicTime now) const
+    {
+        return scores_.at(queue, now);
+    }
 
 private:
     static constexpr Milliseconds LoadHalfLife{5000};
@@ -57,14 +63,12 @@
                            const std::string &queue,
                            bool isForSuspects,
                            MonotonicTime now) const;
-    void addSuspect(MonotonicTime now);
 
     std::map<std::string, Load> loads_; ///< By queue.
-    std::map<std::string, DecayingCount> scores_; ///< By queue.
+    QueueScores scores_; ///< Marks the suspects.
     std::map<std::string, double> scoresBefore_; ///< By queue, before the latest crashes of one instant.
     std::set<std::tuple<std::string, int, int>> lostTasks_; ///< Tasks that were on a crashed worker.
     double shareOfLost_ = 0.05; ///< Average share of them among the runs on crashed workers.
-    std::set<std::string> suspects_;
     MonotonicTime lastCrashAt_;
 };
 
--- a/request/crash_warnings.cpp
+++ b/request/crash_warnings.cpp
@@ -65,6 +65,11 @@
 
 } // namespace
 
+CrashWarnings::CrashWarnings()
+    : scores_(QueueScoreLimits{ScoreHalfLife, WarningScore, ClearedScore, MinScore, MaxScore})
+{
+}
+
 void CrashWarnings::recordJob(const std::string &queue, MonotonicTime now)
 {
     jobs_.try_emplace(queue, JobsHalfLife).first->second.add(1, now);
@@ -91,15 +96,15 @@
     if (isSimultaneous) {
         return;
     }
-    std::set<std::string> queues;
-    std::ranges::for_each(jobs_, [&](const auto &each) { queues.insert(each.first); });
-    std::ranges::for_each(crash.runs, [&](const wire::CrashedRun &run) { queues.insert(run.queue); });
+    std::set<std::string> candidates;
+    std::ranges::for_each(jobs_, [&](const auto &each) { candidates.insert(each.first); });
+    std::ranges::for_each(crash.runs, [&](const wire::CrashedRun &run) { candidates.insert(run.queue); });
     const bool isExplained
-        = std::ranges::any_of(crash.runs, [this](const wire::CrashedRun &run) { return warned_.contains(run.queue); });
+        = std::ranges::any_of(crash.runs, [this](const wire::CrashedRun &run) { return queues().contains(run.queue); });
     std::map<std::string, double> changes;
-    for (const std::string &queue : queues) {
+    for (const std::string &queue : candidates) {
         const int laterJobs = countLaterJobs(crash, queue);
-        const bool isWarned = warned_.contains(queue);
+        const bool isWarned = queues().contains(queue);
         if (laterJobs < 0 && isWarned != isForWarned) {
             continue; // The queue does not use this worker, so the crash says nothing about it.
         }
@@ -109,41 +114,19 @@
         const double absence = isExplained ? ExplainedAbsenceScore : AbsenceScore;
         changes[queue] = laterJobs < 0 ? absence : logLikelihood(laterJobs, shareOfJobs(queue, now));
     }
-    const auto changedScore = [&](const auto &each) { return score(each.first, crashedAt) + each.second; };
+    const auto changedScore = [&](const auto &each) { return scores_.at(each.first, crashedAt) + each.second; };
     if (isRepeated && !changes.empty()) {
         std::ranges::max_element(changes, {}, changedScore)->second += RepetitionScore;
     }
     for (const auto &each : changes) {
-        scores_.try_emplace(each.first, ScoreHalfLife)
-            .first->second.set(std::clamp(changedScore(each), MinScore, MaxScore), crashedAt);
-    }
-    addQueue(now);
-}
-
-/** Adds the queue with the highest score, unless no other queue would be left. */
-void CrashWarnings::addQueue(MonotonicTime now)
-{
-    std::string highest;
-    for (const auto &[queue, value] : scores_) {
-        if (!warned_.contains(queue) && score(queue, now) >= WarningScore
-            && (highest.empty() || score(queue, now) > score(highest, now))) {
-            highest = queue;
-        }
-    }
-    if (!highest.empty() && warned_.size() + 1 < jobs_.size()) {
-        warned_.insert(highest);
+        scores_.set(each.first, changedScore(each), crashedAt);
     }
+    scores_.markHighest(jobs_.size(), now);
 }
 
 void CrashWarnings::update(MonotonicTime now)
 {
-    std::erase_if(warned_, [&](const std::string &queue) { return score(queue, now) < ClearedScore; });
-}
-
-double CrashWarnings::score(const std::string &queue, MonotonicTime now) const
-{
-    const auto found = scores_.find(queue);
-    return found == scores_.end() ? 0 : found->second.at(now);
+    scores_.update(now);
 }
 
 } // namespace marjoramferry
--- a/request/crash_warnings.h
+++ b/request/crash_warnings.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "request/decaying_count.h"
+#include "request/queue_scores.h"
 
 #include <messages_types.h>
 
@@ -24,6 +25,8 @@
 class CrashWarnings
 {
 public:
+    CrashWarnings();
+
     /** Records a job of the queue, for the queue's share of all jobs. */
     void recordJob(const std::string &queue, MonotonicTime now);
 
@@ -35,18 +38,19 @@
 
     const std::set<std::string> &queues() const
     {
-        return warned_;
+        return scores_.marked();
     }
 
-    double score(const std::string &queue, MonotonicTime now) const;
+    double score(const std::string &queue, MonotonicTime now) const
+    {
+        return scores_.at(queue, now);
+    }
 
 private:
     double shareOfJobs(const std::string &queue, MonotonicTime now) const;
-    void addQueue(MonotonicTime now);
 
     std::map<std::string, DecayingCount> jobs_; ///< By queue.
-    std::map<std::string, DecayingCount> scores_; ///< By queue.
-    std::set<std::string> warned_;
+    QueueScores scores_; ///< Marks the queues under a warning.
     MonotonicTime lastCrashAt_;
 };
 
--- a/request/waiting_work.cpp
+++ b/request/waiting_work.cpp
@@ -1,6 +1,6 @@
 #include "request/waiting_work.h"
 
-#include <algorithm>
+#include "request/worker_label.h"
 
 namespace marjoramferry {
 
@@ -30,9 +30,8 @@
 
 bool WaitingWork::canRun(const wire::WorkerState &worker, const Step &step)
 {
-    const bool hasLabel
-        = step.requiredLabel.empty() || std::ranges::find(worker.labels, step.requiredLabel) != worker.labels.end();
-    return worker.serviceName == step.service && hasLabel && step.demand.fitsIn(fromWire(worker.capacity));
+    return worker.serviceName == step.service && hasLabel(worker, step.requiredLabel)
+        && step.demand.fitsIn(fromWire(worker.capacity));
 }
 
 } // namespace marjoramferry
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -17,8 +17,6 @@
 constexpr int64_t LateRankOffsetMs = 60'000;
 /** Interval between scans of all jobs and runs for passed deadlines. */
 constexpr Milliseconds CheckInterval{10};
-constexpr Milliseconds MinRetryAfter{1000};
-constexpr Milliseconds MaxRetryAfter{10'000};
 /** Upper bound of the budget for retries of overdue tasks. */
 constexpr double MaxRetryBudget = 20;
 
@@ -119,52 +117,10 @@
     enqueueJob(added, now);
 }
 
-/**
- * Predicts how the job would end behind the jobs that precede it. Without admission control, a job expected to be late
- * is queued behind all jobs that can be in time; one expected to start only after its rejectAt is refused at once.
- */
-bool WorkScheduler::admitJob(Job &job, JobAdmission &admission, MonotonicTime now) const
-{
-    const auto workAhead = [&](JobProspect prospect) {
-        return workAheadOf(QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id});
-    };
-    if (options_.admission) {
-        job.prospect = admission.classify(job.needs, workAhead, now);
-        return job.prospect != JobProspect::Hopeless;
-    }
-    if (queue_.empty() || !drainRate_.isKnown()) {
-        return true;
-    }
-    const auto expectedWait = [&] { return drainRate_.timeFor(workAheadOf(queuePositionOf(job, now))); };
-    const bool isExpectedLate = now + expectedWait() > job.latestStartAt;
-    job.prospect = isExpectedLate ? JobProspect::Late : JobProspect::InTime;
-    return !isExpectedLate || now + expectedWait() <= job.rejectAt;
-}
-
-double WorkScheduler::workAheadOf(const QueuePosition &position) const
-{
-    double workAhead = 0;
-    for (auto each = queue_.begin(); each != queue_.end() && *each < position; ++each) {
-        workAhead += jobs_.at(each->jobId).remainingWork;
-    }
-    return workAhead;
-}
-
-/** Adapts the capacity estimate to workers that became unusable. */
-void WorkScheduler::followCapacity(const OperatorStateCache &operatorState, MonotonicTime now)
-{
-    double usable = 0;
-    for (const WorkerView *view : directory_.activeViews()) {
-        const bool isUsable = directory_.isUsable(*view, now) && !operatorState.isEvacuated(view->state.domain);
-        usable += isUsable ? view->state.capacity.cpuMillis : 0;
-    }
-    admission_.shares().followCapacity(usable);
-}
-
 WorkScheduler::QueuePosition WorkScheduler::queuePositionOf(const Job &job, MonotonicTime now)
 {
     const JobProspect prospect = job.hasStarted ? JobProspect::InTime : prospectAt(job.prospect, job.needs, now);
-    return QueuePosition{prospect != JobProspect::InTime, prospect, job.sortKey, job.id};
+    return QueuePosition{prospect, job.sortKey, job.id};
 }
 
 void WorkScheduler::enqueueJob(Job &job, MonotonicTime now)
@@ -216,12 +172,16 @@
     containment_.update(operatorState, now);
     if (now - lastCheckAt_ >= CheckInterval) {
         lastCheckAt_ = now;
-        followCapacity(operatorState, now);
+        if (options_.admission) {
+            followCapacity(operatorState, now);
+        }
         withdrawOverdueRuns(now);
         checkDeadlines(now);
     }
     dispatchTasks(operatorState, now);
-    admission_.shares().endPass(!queue_.empty(), now);
+    if (options_.admission) {
+        admission_.shares().endPass(!queue_.empty(), now);
+    }
     reportWaitingWork(now);
 }
 
@@ -229,7 +189,7 @@
 {
     WaitingWork &waiting = directory_.renewWaitingWork();
     const auto end = options_.selector.offers ? queue_.end() : queue_.begin();
-    for (auto each = queue_.begin(); each != end && !each->isLate && !waiting.isFull(); ++each) {
+    for (auto each = queue_.begin(); each != end && !each->isLate() && !waiting.isFull(); ++each) {
         const Job &job = jobs_.at(each->jobId);
         for (const Step &step : job.steps) {
             if (job.latestStartAt >= now && isReady(job, step)) {
@@ -240,37 +200,6 @@
     }
 }
 
-PlacementExplanation WorkScheduler::explain(const SubmitWork &call,
-                                            const wire::Route &route,
-                                            const OperatorStateCache &operatorState,
-                                            MonotonicTime now) const
-{
-    Job job = makeJob(call, route, "", now);
-    JobAdmission admission = admission_; // The explanation must not count as an arrival.
-    const bool isAdmitted = admitJob(job, admission, now);
-    const QueuePosition position = queuePositionOf(job, now);
-    PlacementExplanation result;
-    result.expectedRunTime = expectedJobRunTime(call.job, route);
-    result.expectedWait = drainRate_.isKnown() ? drainRate_.timeFor(workAheadOf(position)) : Milliseconds(0);
-    result.isExpectedLate = position.isLate;
-    result.waitingJobs = queue_.size();
-    result.isIsolated = containment_.isIsolated(route);
-    if (containment_.isWithoutHope(route, job.latestStartAt, now)) {
-        result.rejection = "isolated_workers_down";
-    } else if (!isAdmitted) {
-        result.rejection = "overload";
-    }
-    const Step &step = job.steps.front();
-    std::vector<WorkerSelector::Candidate> candidates
-        = selector_.findCandidates(step.definition, route, position.isLate, operatorState, now);
-    if (result.isIsolated) {
-        std::erase_if(candidates, [&](const auto &each) { return !isWorthRisk(job, step, *each.view, now); });
-    }
-    result.workers = PlacementExplainer(directory_, runTimes_, health_, containment_)
-                         .explain(step.definition, route, candidates, operatorState, now);
-    return result;
-}
-
 void WorkScheduler::checkDeadlines(MonotonicTime now)
 {
     std::vector<std::string> rejected;
@@ -292,26 +221,6 @@
     updateQueuePositions(now);
 }
 
-/** Rejects the jobs without a started task that can't be answered in time behind the jobs that precede them. */
-void WorkScheduler::rejectHopelessJobs(MonotonicTime now)
-{
-    if (!options_.admission) {
-        return;
-    }
-    std::vector<std::string> hopeless;
-    double workAhead = 0;
-    for (const QueuePosition &position : queue_) {
-        const Job &job = jobs_.at(position.jobId);
-        if (!job.hasStarted && admission_.isHopeless(job.needs, position.prospect, workAhead, now)) {
-            hopeless.push_back(job.id);
-            continue;
-        }
-        workAhead += job.remainingWork;
-    }
-    std::ranges::for_each(hopeless,
-                          [&](const std::string &id) { finishJob(id, ResponseStatus::Rejected, "overload", now); });
-}
-
 /** Jobs that became late move behind those that can still be in time. */
 void WorkScheduler::updateQueuePositions(MonotonicTime now)
 {
@@ -375,7 +284,7 @@
             continue;
         }
         std::vector<WorkerSelector::Candidate> candidates = selector_.findCandidates(
-            step.definition, job.route, queuePositionOf(job, now).isLate, operatorState, now);
+            step.definition, job.route, queuePositionOf(job, now).isLate(), operatorState, now);
         if (containment_.isIsolated(job.route)) {
             std::erase_if(candidates, [&](const auto &each) { return !isWorthRisk(job, step, *each.view, now); });
         }
@@ -443,7 +352,9 @@
     const double work = workOfTask(step);
     job.remainingWork = std::max(0.0, job.remainingWork - work);
     drainRate_.recordDispatched(work);
-    admission_.shares().recordDispatched(job.route.name, work, now);
+    if (options_.admission) {
+        admission_.shares().recordDispatched(job.route.name, work, now);
+    }
     const int64_t slackMs = std::chrono::duration_cast<Milliseconds>(job.sortKey - now).count();
     wire::RunOrder order;
     order.runNumber = ++lastRunNumber_;
@@ -456,7 +367,7 @@
     order.spec = job.spec;
     order.demand = toWire(step.definition.demand);
     order.rank = job.latestStartAt < now ? LateRankOffsetMs - slackMs : slackMs;
-    order.patienceMs = static_cast<int>(options_.agentQueueTimeout.count());
+    order.patienceMs = static_cast<int>(options_.selector.queueTimeout.count());
     Run run;
     run.jobId = job.id;
     run.submission = job.submission;
@@ -687,16 +598,6 @@
     requeueTask(job, task, now);
 }
 
-/** Counts the work of a returned task as waiting again instead of dispatched. */
-void WorkScheduler::countReturnedWork(Job &job, const Run &run, MonotonicTime now)
-{
-    if (options_.admission) {
-        const double work = workOfTask(job.steps[static_cast<size_t>(run.step)]);
-        job.remainingWork += work;
-        admission_.shares().recordDispatched(job.route.name, -work, now);
-    }
-}
-
 void WorkScheduler::requeueTask(Job &job, Task &task, MonotonicTime now)
 {
     task.state = TaskState::Queued;
@@ -769,20 +670,6 @@
     }
 }
 
-Milliseconds WorkScheduler::retryAfterDelay(const Job &job, MonotonicTime now)
-{
-    const double waitingWork = workAheadOf(QueuePosition{true, JobProspect::Hopeless, MonotonicTime::max(), ""});
-    if (options_.admission) {
-        return admission_.reserveReturn(job.needs, waitingWork, now);
-    }
-    double capacity = 1;
-    for (const auto &[agent, view] : directory_.views()) {
-        capacity += view.state.capacity.cpuMillis;
-    }
-    const Milliseconds wait(static_cast<int64_t>(waitingWork / capacity));
-    return std::clamp(wait, MinRetryAfter, MaxRetryAfter);
-}
-
 void WorkScheduler::interruptAllJobs(MonotonicTime now)
 {
     while (!jobs_.empty()) {
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -5,7 +5,7 @@
 #include "request/drain_rate.h"
 #include "request/job_admission.h"
 #include "request/operator_state_cache.h"
-#include "request/placement_explainer.h"
+#include "request/placement_explanation.h"
 #include "request/run_time_estimator.h"
 #include "request/started_jobs.h"
 #include "request/work_command.h"
@@ -26,11 +26,6 @@
 struct WorkSchedulerOptions
 {
     WorkerSelectorOptions selector;
-    /**
-     * A run that waits longer at its agent for free capacity is returned. Short, because a job is as late as its last
-     * task: of many tasks that wait at one worker each, some wait far longer than the average.
-     */
-    Milliseconds agentQueueTimeout{25};
     /** Share of the caller's timeout after which a job that has not started is rejected. */
     double queueTimeShare = 0.35;
     Milliseconds defaultTimeout{3000}; ///< For callers that send no timeout.
@@ -187,11 +182,16 @@
     /** Sort key of a job in the queue. */
     struct QueuePosition
     {
-        bool isLate = false; ///< Served after the jobs in time, with the rest of the capacity.
         JobProspect prospect = JobProspect::InTime;
         MonotonicTime sortKey;
         std::string jobId;
 
+        /** Served after the jobs in time, with the rest of the capacity. */
+        bool isLate() const
+        {
+            return prospect != JobProspect::InTime;
+        }
+
         auto operator<=>(const QueuePosition &) const = default;
     };
 
--- a/request/worker_selector.cpp
+++ b/request/worker_selector.cpp
@@ -1,5 +1,7 @@
 #include "request/worker_selector.h"
 
+#include "request/worker_label.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -27,11 +29,6 @@
 /** Capacity is reserved only on workers that can run at least so many of the tasks at once. */
 constexpr int MinTasksForReserve = 8;
 
-bool hasLabel(const wire::WorkerState &worker, const std::string &label)
-{
-    return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
-}
-
 } // namespace
 
 WorkerSelector::WorkerSelector(WorkerSelectorOptions options,
--- a/request/worker_selector.h
+++ b/request/worker_selector.h
@@ -33,7 +33,11 @@
     double remoteSlowdown = 1.5; ///< Factor by which tasks run longer on a worker without their data.
     uint64_t seed = 1;
     bool offers = false; ///< Sends a run to a full worker only if it is likely to start within the queue timeout.
-    Milliseconds queueTimeout{25}; ///< Equals WorkSchedulerOptions::agentQueueTimeout.
+    /**
+     * A run that waits longer at its agent for free capacity is returned. Short, because a job is as late as its last
+     * task: of many tasks that wait at one worker each, some wait far longer than the average.
+     */
+    Milliseconds queueTimeout{25};
 };
 
 /** Selects a worker for each task by free capacity, speed, data locality and affinity. */
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -21,21 +21,27 @@
 
 namespace {
 
+/** Listens on a free port of the loopback address and returns the port. */
+int listenOnLoopback(int listener)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr *>(&address), length) == 0);
+    listen(listener, 8);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
 /** Answers the first request of each connection, and closes the connection without an answer on the second. */
 class ClosingServer
 {
 public:
     ClosingServer()
         : listener_(socket(AF_INET, SOCK_STREAM, 0))
+        , port_(listenOnLoopback(listener_))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        REQUIRE(bind(listener_, reinterpret_cast<sockaddr *>(&address), length) == 0);
-        listen(listener_, 8);
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        port_ = ntohs(address.sin_port);
         thread_ = std::thread([this] { serve(); });
     }
 
@@ -91,15 +97,8 @@
 public:
     SilentServer()
         : listener_(socket(AF_INET, SOCK_STREAM, 0))
+        , port_(listenOnLoopback(listener_))
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        REQUIRE(bind(listener_, reinterpret_cast<sockaddr *>(&address), length) == 0);
-        listen(listener_, 8);
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        port_ = ntohs(address.sin_port);
     }
 
     ~SilentServer()
