--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -3,9 +3,9 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +21,7 @@
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
 RESEND_S = 1.3
+MAX_FDS = 4100
 
 
 def lookup(fields, name):
@@ -52,6 +53,13 @@
     return re.sub(r"\{\{([^#/^}]+)\}\}", lambda match: str(lookup(fields, match.group(1)) or ""), text)
 
 
+def limit_descriptors():
+    """As `max-fds` in the settings says, or fewer where the machine allows only those."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    limit = MAX_FDS if hard == resource.RLIM_INFINITY else min(MAX_FDS, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit))
+
+
 class Machine:
     def __init__(self, name, zone, ip, ports):
         self.name, self.zone, self.ip = name, zone, ip
@@ -101,7 +109,8 @@
         log = open(os.path.join(self.work, f"{machine.name}.log"), "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         self.processes[machine.name] = subprocess.Popen(
-            words, cwd=ROOT, stdout=log, stderr=log, env={**environment, "MARJORAMFERRY_CONFIG": path})
+            words, cwd=ROOT, stdout=log, stderr=log, env={**environment, "MARJORAMFERRY_CONFIG": path},
+            preexec_fn=limit_descriptors)
         self.record.add("process_start", name=machine.name, role=role)
 
     async def start(self, routes=None):
@@ -143,12 +152,13 @@
         else:
             shutil.rmtree(self.work, ignore_errors=True)
 
-    async def submit(self, entry, job, phases, spec, deadline_ms=1500):
-        """Hands a job in once; returns the status, or None without an answer."""
+    async def submit(self, entry, job, phases, spec, deadline_ms=1500, leave_ms=None):
+        """Hands a job in once; returns the status, or None without an answer. A client may leave before that."""
         body = {"spec": str(spec), "best-effort": True, "phases": phases}
         self.record.add("client_post", job=job, entry=entry.name)
         headers = (f"Host: {HOST}", f"Deadline-Ms: {deadline_ms}")
-        status, answer = await call(entry.frontend, "POST", PREFIX + job, body, headers, deadline_ms / 1000)
+        status, answer = await call(entry.frontend, "POST", PREFIX + job, body, headers,
+                                    (leave_ms or deadline_ms) / 1000)
         self.record.add("client_answer", job=job, entry=entry.name, status=status, body=answer[:100].decode())
         return status, answer
 
@@ -197,7 +207,7 @@
         deployment = Deployment(folder, runners)
         try:
             await deployment.start()
-            return await asyncio.wait_for(scenario(deployment), 100)
+            return await asyncio.wait_for(scenario(deployment), 110)
         finally:
             deployment.stop()
 
@@ -206,5 +216,4 @@
     except (Exception, asyncio.CancelledError) as error:  # Any failure of the script itself.
         print("could not run:", repr(error), file=sys.stderr)
         code = 2
-    socket.setdefaulttimeout(None)
     sys.exit(code)
