--- a/review/common/http_io.py
+++ b/review/common/http_io.py
@@ -75,10 +75,10 @@
 
     try:
         return await asyncio.wait_for(exchange(), timeout)
-    except (OSError, asyncio.IncompleteReadError, ValueError):
-        return None, b"connection broken"
     except asyncio.TimeoutError:
         return None, b"no answer in time"
+    except (OSError, asyncio.IncompleteReadError, ValueError):
+        return None, b"connection broken"
     finally:
         if writer is not None:
             writer.close()
