Believe that a worker was replaced only on evidence of its own address

Cause: an agent took an announcement under another name as proof that the known process had ended, reported its runs as gone and let the entries start them elsewhere, while the process worked on. A later start time under the same name and a departure led to the same belief. Evidence: run_ended reason=worker_replaced and worker_found in the millisecond of the announcement, without a call to the worker in between.

Change: an announcement or a departure is a claim. The agent polls the known process; an answer refutes the claim, a later process or a 421 confirms it, and without either the lease decides. The clock and the sequence number of an announcement count only as far as the process itself bears them out. Why this works: what ends a run is now either the process, its address, or the lease, and no message that anyone can send.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -53,7 +53,7 @@
                    [&](const PeerMessage &each) { onEntryBatch(each, now); },
                    [&](const PeerClosed &each) { onPeerClosed(each, now); },
                    [&](const WorkerAnnouncement &each) { supervisor_.handleAnnouncement(each, now); },
-                   [&](const WorkerDeparture &each) { supervisor_.handleDeparture(each, now); },
+                   [&](const WorkerDeparture &each) { supervisor_.handleDeparture(each); },
                    [&](const WorkerReply &each) { supervisor_.handleReply(each, now); },
                    [&](const EntriesRead &each) {
                        std::ranges::for_each(each.addresses, [this](const auto &address) { addEntry(address); });
--- a/request/worker_lease.h
+++ b/request/worker_lease.h
@@ -38,6 +38,12 @@
     /** Records the worker's clock, as reported in a message received at @p now. Older values are ignored. */
     void observeClock(int64_t clockMs, MonotonicTime now);
 
+    /**
+     * Records the clock of an announcement, which another writer may have sent: it is used up to the time that the
+     * clock of the last reply can show by now. Returns that much of it.
+     */
+    int64_t observeAnnouncedClock(int64_t clockMs, MonotonicTime now);
+
     /** Discards the clock and the lease end after the worker restarted or was replaced. */
     void reset();
 
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -31,116 +31,6 @@
 {
 }
 
-void WorkerSupervisor::handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now)
-{
-    if (!worker_) {
-        adoptWorker(announcement, now);
-        return;
-    }
-    const bool isOlder = announcement.identity.startTimeMs < worker_->identity.startTimeMs;
-    const bool isSame = announcement.identity == worker_->identity;
-    if (isOlder || (isSame && announcement.sequence < worker_->sequence)) {
-        log(LogEvent::Level::Info,
-            "announcement_discarded",
-            {{"worker", announcement.identity.id}, {"sequence", absl::StrCat(announcement.sequence)}});
-        return;
-    }
-    if (announcement.identity.id != worker_->identity.id) {
-        handleReplacement(now);
-        adoptWorker(announcement, now);
-        return;
-    }
-    if (!isSame) {
-        handleRestart(announcement.identity.startTimeMs, now);
-        worker_ = announcement;
-        lease_.observeClock(announcement.clockMs, now);
-        sendPoll(Milliseconds(0), false, now);
-        return;
-    }
-    if (announcement.leaving != worker_->leaving) {
-        log(LogEvent::Level::Info,
-            "worker_leaving",
-            {{"worker", announcement.identity.id}, {"leaving", announcement.leaving ? "1" : "0"}});
-    }
-    worker_ = announcement;
-    lastAnnouncementAt_ = now;
-    lease_.observeClock(announcement.clockMs, now);
-    startQueuedRuns(now);
-}
-
-/**
- * Handles a restart of the worker under the same name. Earlier runs are gone, but calls sent since the
- * restart may have reached the new process: its first listing under a higher fence shows which runs exist.
- */
-void WorkerSupervisor::handleRestart(int64_t startTimeMs, MonotonicTime now)
-{
-    log(LogEvent::Level::Warning,
-        "worker_restarted",
-        {{"worker", worker_->identity.id},
-         {"start_time_ms", absl::StrCat(startTimeMs)},
-         {"runs", absl::StrCat(runs_.size())}});
-    reportCrash(wire::CrashStatus::DETECTED, "worker_restarted", now);
-    worker_->identity.startTimeMs = startTimeMs;
-    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
-    worker_->sequence = 0;
-    restartDetectedAt_ = now;
-    lastAnnouncementAt_ = now;
-    lastReplyAt_ = now;
-    lease_.reset();
-    lastEndSeen_ = 0;
-    lastEndAcknowledged_ = 0;
-    acceptedFence_ = 0;
-    raiseFence(fence_ + 1);
-    requiredFence_ = fence_;
-    isReconciled_ = false;
-}
-
-/** Handles that another worker has the address of this one. */
-void WorkerSupervisor::handleReplacement(MonotonicTime now)
-{
-    if (worker_) {
-        reportCrash(wire::CrashStatus::DETECTED, "worker_replaced", now);
-    }
-    dropAllRuns("worker_replaced", now);
-    isReconciled_ = false;
-}
-
-void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
-{
-    worker_ = announcement;
-    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
-    lastAnnouncementAt_ = now;
-    lastReplyAt_ = now;
-    lease_.reset();
-    lease_.observeClock(announcement.clockMs, now);
-    lastEndSeen_ = 0;
-    lastEndAcknowledged_ = 0;
-    acceptedFence_ = 0;
-    isReconciled_ = false;
-    pendingPolls_.clear();
-    requiredFence_ = fence_;
-    log(LogEvent::Level::Info,
-        "worker_found",
-        {{"worker", announcement.identity.id},
-         {"service", announcement.service},
-         {"address", announcement.address},
-         {"start_time_ms", absl::StrCat(announcement.identity.startTimeMs)},
-         {"cpu_millis", absl::StrCat(announcement.capacity.cpuMillis)}});
-    sendPoll(Milliseconds(0), false, now);
-}
-
-void WorkerSupervisor::handleDeparture(const WorkerDeparture &departure, MonotonicTime now)
-{
-    if (!worker_ || worker_->identity.id != departure.id) {
-        return;
-    }
-    log(LogEvent::Level::Info, "worker_left", {{"worker", departure.id}});
-    retractCrash("worker_left");
-    dropAllRuns("worker_left", now);
-    worker_.reset();
-    isReconciled_ = false;
-}
-
 /**
  * Reports the runs under which the worker crashed: those it confirmed, and those whose start broke off. Draws no
  * conclusion on when they end.
@@ -312,10 +202,15 @@
         return;
     }
     if (isOtherProcess) {
-        handleRestart(startTimeMs, now);
+        const bool wasClaimed
+            = claim_ && claim_->announcement().identity == WorkerIdentity{worker_->identity.id, startTimeMs};
+        handleRestart(startTimeMs, wasClaimed ? claim_->since() : now, now);
     }
     if (reply.clockMs) {
         lease_.observeClock(*reply.clockMs, now);
+        if (worker_) {
+            worker_->clockMs = std::min(worker_->clockMs, *reply.clockMs);
+        }
     }
     crashEvidence_.recordReply(reply, lastCallId_, now);
     if (const auto status = crashEvidence_.statusOnRefusal(reply); status && worker_) {
@@ -333,6 +228,7 @@
         pendingPolls_.erase(poll);
         onPollReply(sent, reply, now);
     }
+    judgeClaim(reply, now);
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
@@ -577,7 +473,7 @@
     if (!worker_ || !isPollNeeded(now)) {
         return;
     }
-    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_;
+    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || claim_;
     if (isRetry && now - lastPollAt_ < timing_.retryDelay) {
         return;
     }
@@ -592,7 +488,7 @@
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || lastEndAcknowledged_ < lastEndSeen_;
+        return !runs_.empty() || !isReconciled_ || claim_ || lastEndAcknowledged_ < lastEndSeen_;
     }
     return pendingPolls_.size() == 1 && !runs_.empty()
         && now - pendingPolls_.begin()->second.sentAt >= timing_.secondPollDelay;
@@ -644,10 +540,14 @@
     if (now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout) {
         log(LogEvent::Level::Warning, "worker_lost", {{"worker", worker_->identity.id}});
         dropAllRuns("worker_lost", now);
-        worker_.reset();
-        isReconciled_ = false;
+        forgetWorker();
+        return;
+    }
+    if (hasDeparted_ && runs_.empty()) {
+        forgetWorker();
         return;
     }
+    acceptUnopposedClaim(now);
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -4,6 +4,7 @@
 #include "event/log_event.h"
 #include "request/crash_evidence.h"
 #include "request/crash_log.h"
+#include "request/worker_claim.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
 
@@ -82,7 +83,7 @@
     };
 
     void handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now);
-    void handleDeparture(const WorkerDeparture &departure, MonotonicTime now);
+    void handleDeparture(const WorkerDeparture &departure);
     void requestRun(RunRequest request, MonotonicTime now);
 
     /** Reports a run as not started. */
@@ -150,9 +151,21 @@
         MonotonicTime sentAt;
     };
 
+    void updateWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void discard(const WorkerAnnouncement &announcement, const std::string &reason);
+    void handleClaim(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void judgeClaim(const WorkerReply &reply, MonotonicTime now);
+    void acceptUnopposedClaim(MonotonicTime now);
+    void acceptClaim(MonotonicTime now);
     void adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void forgetWorker();
     void handleReplacement(MonotonicTime now);
-    void handleRestart(int64_t startTimeMs, MonotonicTime now);
+    void handleRestart(int64_t startTimeMs, MonotonicTime detectedAt, MonotonicTime now);
+    /** Whether the known process has accepted a poll. */
+    bool hasAnswered() const
+    {
+        return acceptedFence_ > 0;
+    }
     void dropAllRuns(const std::string &reason, MonotonicTime now);
     void reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now);
     void retractCrash(const std::string &evidence);
@@ -182,7 +195,9 @@
     void log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields);
 
     const WorkerTiming timing_;
-    std::optional<WorkerAnnouncement> worker_;
+    std::optional<WorkerAnnouncement> worker_; ///< The known process, as last announced.
+    std::optional<WorkerClaim> claim_; ///< That another process has replaced it.
+    bool hasDeparted_ = false; ///< It has said that it ends, and still has runs.
     CrashEvidence crashEvidence_; ///< About the current process of the worker.
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
     MonotonicTime lastAnnouncementAt_;
--- /dev/null
+++ b/request/worker_supervisor_identity.cpp
@@ -0,0 +1,223 @@
+#include "request/worker_supervisor.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+/** The part of WorkerSupervisor that decides which process is beside the agent. */
+namespace marjoramferry {
+
+void WorkerSupervisor::handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now)
+{
+    if (!worker_) {
+        adoptWorker(announcement, now);
+    } else if (announcement.identity == worker_->identity) {
+        updateWorker(announcement, now);
+    } else {
+        handleClaim(announcement, now);
+    }
+}
+
+/** Applies an announcement of the known process. */
+void WorkerSupervisor::updateWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
+{
+    // Later numbers alone don't make the known announcement the newer one: it may be of another writer.
+    if (announcement.sequence < worker_->sequence && announcement.clockMs <= worker_->clockMs) {
+        discard(announcement, "older");
+        return;
+    }
+    const bool isConsistent = announcement.address == worker_->address && announcement.service == worker_->service
+        && announcement.domain == worker_->domain;
+    if (!isConsistent && !hasAnswered()) {
+        adoptWorker(announcement, now);
+        return;
+    }
+    if (!isConsistent) {
+        discard(announcement, "other_address_service_or_domain");
+        return;
+    }
+    if (announcement.leaving != worker_->leaving) {
+        log(LogEvent::Level::Info,
+            "worker_leaving",
+            {{"worker", announcement.identity.id}, {"leaving", announcement.leaving ? "1" : "0"}});
+    }
+    worker_ = announcement;
+    worker_->clockMs = lease_.observeAnnouncedClock(announcement.clockMs, now);
+    hasDeparted_ = false;
+    lastAnnouncementAt_ = now;
+    startQueuedRuns(now);
+}
+
+void WorkerSupervisor::discard(const WorkerAnnouncement &announcement, const std::string &reason)
+{
+    log(LogEvent::Level::Info,
+        "announcement_discarded",
+        {{"worker", announcement.identity.id},
+         {"start_time_ms", absl::StrCat(announcement.identity.startTimeMs)},
+         {"sequence", absl::StrCat(announcement.sequence)},
+         {"reason", reason}});
+}
+
+/** Handles the announcement of another process: asks the known one whether it is still there. */
+void WorkerSupervisor::handleClaim(const WorkerAnnouncement &announcement, MonotonicTime now)
+{
+    const WorkerIdentity &claimed = announcement.identity;
+    const bool isSameName = claimed.id == worker_->identity.id;
+    if (isSameName && claimed.startTimeMs < worker_->identity.startTimeMs && hasAnswered()) {
+        discard(announcement, "older_process");
+        return;
+    }
+    if (claim_ && claim_->announcement().identity == claimed) {
+        claim_->update(announcement);
+        return;
+    }
+    log(LogEvent::Level::Warning,
+        "worker_claimed",
+        {{"worker", worker_->identity.id},
+         {"claimed", claimed.id},
+         {"service", announcement.service},
+         {"address", announcement.address},
+         {"start_time_ms", absl::StrCat(claimed.startTimeMs)},
+         {"runs", absl::StrCat(runs_.size())}});
+    const bool isFirst = !claim_;
+    claim_.emplace(announcement, lastCallId_, now);
+    if (isSameName) {
+        raiseFence(fence_ + 1); // Settles the starts that may be under way to either process.
+    }
+    if (isFirst) {
+        sendPoll(Milliseconds(0), false, now);
+    }
+}
+
+void WorkerSupervisor::judgeClaim(const WorkerReply &reply, MonotonicTime now)
+{
+    if (!claim_ || !worker_) {
+        return;
+    }
+    switch (claim_->judge(reply, worker_->identity)) {
+    case ClaimVerdict::Undecided:
+        return;
+    case ClaimVerdict::Refuted:
+        discard(std::exchange(claim_, std::nullopt)->announcement(), "known_process_answered");
+        return;
+    case ClaimVerdict::Confirmed:
+        acceptClaim(now);
+        return;
+    }
+}
+
+/** Accepts the claim if the known process has no runs and has not answered for the duration of a lease. */
+void WorkerSupervisor::acceptUnopposedClaim(MonotonicTime now)
+{
+    if (claim_ && runs_.empty() && lastReplyAt_ < claim_->since() && now - claim_->since() > timing_.leaseDuration) {
+        acceptClaim(now);
+    }
+}
+
+void WorkerSupervisor::acceptClaim(MonotonicTime now)
+{
+    const WorkerAnnouncement announcement = std::exchange(claim_, std::nullopt)->announcement();
+    if (announcement.identity.id != worker_->identity.id) {
+        adoptWorker(announcement, now);
+        return;
+    }
+    if (announcement.identity != worker_->identity) {
+        handleRestart(announcement.identity.startTimeMs, now, now);
+    }
+    worker_ = announcement;
+    worker_->clockMs = lease_.observeAnnouncedClock(announcement.clockMs, now);
+    lastAnnouncementAt_ = now;
+}
+
+/**
+ * Handles a restart of the worker under the same name. Earlier runs are gone, but calls sent since the
+ * restart may have reached the new process: its first listing under a higher fence shows which runs exist.
+ */
+void WorkerSupervisor::handleRestart(int64_t startTimeMs, MonotonicTime detectedAt, MonotonicTime now)
+{
+    log(LogEvent::Level::Warning,
+        "worker_restarted",
+        {{"worker", worker_->identity.id},
+         {"start_time_ms", absl::StrCat(startTimeMs)},
+         {"runs", absl::StrCat(runs_.size())}});
+    reportCrash(wire::CrashStatus::DETECTED, "worker_restarted", now);
+    worker_->identity.startTimeMs = startTimeMs;
+    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
+    worker_->sequence = 0;
+    worker_->clockMs = 0;
+    hasDeparted_ = false;
+    restartDetectedAt_ = detectedAt;
+    lastAnnouncementAt_ = now;
+    lastReplyAt_ = now;
+    lease_.reset();
+    lastEndSeen_ = 0;
+    lastEndAcknowledged_ = 0;
+    acceptedFence_ = 0;
+    raiseFence(fence_ + 1);
+    requiredFence_ = fence_;
+    isReconciled_ = false;
+    sendPoll(Milliseconds(0), false, now);
+}
+
+/** Handles that the known process is no longer at its address: another one has answered there. */
+void WorkerSupervisor::handleReplacement(MonotonicTime now)
+{
+    if (worker_) {
+        reportCrash(wire::CrashStatus::DETECTED, "worker_replaced", now);
+    }
+    dropAllRuns("worker_replaced", now);
+    isReconciled_ = false;
+}
+
+void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
+{
+    worker_ = announcement;
+    claim_.reset();
+    hasDeparted_ = false;
+    crashEvidence_.beginProcess(worker_->identity, lastCallId_);
+    lastAnnouncementAt_ = now;
+    lastReplyAt_ = now;
+    lease_.reset(); // The announced clock is not used until a reply of the process has confirmed it.
+    lastEndSeen_ = 0;
+    lastEndAcknowledged_ = 0;
+    acceptedFence_ = 0;
+    isReconciled_ = false;
+    pendingPolls_.clear();
+    requiredFence_ = fence_;
+    log(LogEvent::Level::Info,
+        "worker_found",
+        {{"worker", announcement.identity.id},
+         {"service", announcement.service},
+         {"address", announcement.address},
+         {"start_time_ms", absl::StrCat(announcement.identity.startTimeMs)},
+         {"cpu_millis", absl::StrCat(announcement.capacity.cpuMillis)}});
+    sendPoll(Milliseconds(0), false, now);
+}
+
+/** A worker that says that it leaves still has its runs until it no longer answers, and their lease has expired. */
+void WorkerSupervisor::handleDeparture(const WorkerDeparture &departure)
+{
+    if (!worker_ || worker_->identity.id != departure.id) {
+        return;
+    }
+    log(LogEvent::Level::Info, "worker_left", {{"worker", departure.id}, {"runs", absl::StrCat(runs_.size())}});
+    retractCrash("worker_left");
+    for (const RunRequest &request : std::exchange(queue_, {})) {
+        rejectRun(request, "worker_left");
+    }
+    worker_->leaving = true;
+    hasDeparted_ = true;
+    if (runs_.empty()) {
+        forgetWorker();
+    }
+}
+
+void WorkerSupervisor::forgetWorker()
+{
+    worker_.reset();
+    claim_.reset();
+    hasDeparted_ = false;
+    isReconciled_ = false;
+}
+
+} // namespace marjoramferry
--- a/tests/promises/shared_workers_test.cpp
+++ b/tests/promises/shared_workers_test.cpp
@@ -21,7 +21,9 @@
     BlockToEntry,
     RestartWorker,
     ReplaceWorker,
-    StallWorker
+    StallWorker,
+    AnnounceForeignWorker,
+    AnnounceForeignProcess
 };
 
 struct PlannedFault
@@ -43,7 +45,7 @@
 {
     return rc::gen::build<PlannedFault>(
         rc::gen::set(&PlannedFault::kind,
-                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(WorkFault::StallWorker) + 1),
+                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(WorkFault::AnnounceForeignProcess) + 1),
                                   [](int kind) { return static_cast<WorkFault>(kind); })),
         rc::gen::set(&PlannedFault::atMs, rc::gen::inRange(0, 4000)),
         rc::gen::set(&PlannedFault::entry, rc::gen::inRange(0, 3)),
@@ -79,6 +81,10 @@
         simulation.worker(fault.agent).hangsNewRuns = true;
         return simulation.schedule(duration,
                                    [&simulation, fault] { simulation.worker(fault.agent).hangsNewRuns = false; });
+    case WorkFault::AnnounceForeignWorker:
+        return simulation.announceForeignWorker(fault.agent, false);
+    case WorkFault::AnnounceForeignProcess:
+        return simulation.announceForeignWorker(fault.agent, true);
     }
 }
 
--- a/tests/request/worker_supervisor_crash_test.cpp
+++ b/tests/request/worker_supervisor_crash_test.cpp
@@ -60,13 +60,21 @@
     CHECK(fixture.supervisor.takeOutput().crashes.empty());
 }
 
-TEST_CASE("A worker that is replaced or restarted while it had runs is reported as crashed")
+TEST_CASE("A worker that is replaced or restarted while it had runs is reported as crashed, once that is proved")
 {
     ReconciledSupervisor fixture;
     fixture.startAndConfirm(runRequest("a", 1), Start);
     WorkerAnnouncement next = announcement(1, 8);
     next.identity.id = GENERATE("worker-1", "worker-2");
     fixture.supervisor.handleAnnouncement(next, Start + Milliseconds(90));
+    WorkerSupervisor::Output announced = fixture.supervisor.takeOutput();
+    CHECK(announced.crashes.empty());
+    const OutputByKind calls(std::move(announced));
+    REQUIRE(calls.polls.size() == 1);
+    const int64_t poll = calls.polls[0].callId;
+    fixture.supervisor.handleReply(next.identity.id == "worker-1" ? listed(poll, {}, {}, 8)
+                                                                  : rejected(poll, Rejection::OtherIncarnation),
+                                   Start + Milliseconds(92));
     const WorkerSupervisor::Output output = fixture.supervisor.takeOutput();
     REQUIRE(output.crashes.size() == 1);
     CHECK(output.crashes[0].worker == WorkerIdentity{"worker-1", 7});
@@ -134,6 +142,9 @@
     fixture.supervisor.handleReply(accepted(started.starts[0].callId), Start + Milliseconds(161));
     fixture.supervisor.takeOutput();
     fixture.supervisor.handleAnnouncement(announcement(1, 8), Start + Milliseconds(200));
+    const OutputByKind announced(fixture.supervisor.takeOutput());
+    REQUIRE(announced.polls.size() == 1);
+    fixture.supervisor.handleReply(listed(announced.polls[0].callId, {}, {}, 8), Start + Milliseconds(201));
     CHECK(fixture.supervisor.takeOutput().crashes.size() == 1);
 }
 
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -89,6 +89,8 @@
     void blockMessages(int entry, int agent, bool toAgent, bool toEntry, Milliseconds duration);
     /** Kills the worker of an agent and starts another one, under the same id if @p keepsId. */
     void restartWorker(int agent, bool keepsId);
+    /** Delivers the announcement of a process that isn't there, under the worker's id if @p usesId. */
+    void announceForeignWorker(int agent, bool usesId);
     /** Kills the worker of an agent; another one starts after @p downtime. Until then, calls to it are refused. */
     void crashWorker(int agent, Milliseconds downtime);
     WorkerModel &worker(int agent);
--- a/tests/support/work_simulation_workers.cpp
+++ b/tests/support/work_simulation_workers.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace marjoramferry::testing {
@@ -149,6 +150,22 @@
     });
 }
 
+void WorkSimulation::announceForeignWorker(int agent, bool usesId)
+{
+    WorkerAnnouncement announcement;
+    announcement.identity = {"worker-of-another-writer", millisecondsBetween(MonotonicTime(), now_) + 1};
+    if (const auto &current = workers_.at(static_cast<size_t>(agent)); usesId && current) {
+        announcement.identity.id = current->identity().id;
+    }
+    announcement.service = "unknown";
+    announcement.address = "10.1.0.1:9";
+    announcement.domain = "domain-0";
+    announcement.capacity = {capacityOf(agent), 100'000, 0};
+    announcement.clockMs = std::numeric_limits<int64_t>::max();
+    announcement.sequence = std::numeric_limits<int64_t>::max();
+    deliverToAgent(agent, agents_.at(static_cast<size_t>(agent)).generation, announcement);
+}
+
 void WorkSimulation::announceWorker(int agent)
 {
     const WorkerModel &model = worker(agent);
