Do not take a run for gone because a row of the listing could not be read

Cause: rows that can't be parsed were skipped, and a list of the wrong type was read as an empty one. A running task whose row was skipped then counted as gone, and was started again elsewhere.

Change: a listing says whether all its rows could be read. An incomplete one ends no run for being absent and does not reconcile the worker, so the agent reports no earlier runs as cleared and starts nothing until one is complete. Without two lists there is no listing.

Tests: worker_supervisor_identity_test.cpp and worker_client_test.cpp, one case each.

--- a/request/worker_protocol.h
+++ b/request/worker_protocol.h
@@ -136,6 +136,7 @@
     int64_t startTimeMs = 0;
     std::vector<RunKey> running;
     std::vector<ListedEnd> ended;
+    bool isComplete = true; ///< Whether all rows could be read. Otherwise a run that is not listed may be running.
 };
 
 /** The answer to any call. */
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -404,6 +404,9 @@
             }
             continue;
         }
+        if (!listing.isComplete) {
+            continue;
+        }
         // A start with a fence below the one the worker has accepted can no longer take effect.
         const bool isFencedOff = run.fence < poll.fence;
         if (!run.isConfirmed && isFencedOff && run.phase != Phase::Starting) {
@@ -435,7 +438,7 @@
             {{"run", describe(key)}, {"worker", worker_->identity.id}});
     }
     const bool wasReconciled = isReconciled_;
-    isReconciled_ = unknownRuns == 0 && acceptedFence_ >= requiredFence_;
+    isReconciled_ = unknownRuns == 0 && listing.isComplete && acceptedFence_ >= requiredFence_;
     if (isReconciled_ && !wasReconciled) {
         log(LogEvent::Level::Info,
             "worker_reconciled",
--- a/tests/platform/worker_client_test.cpp
+++ b/tests/platform/worker_client_test.cpp
@@ -1,5 +1,6 @@
 #include "platform/worker_client.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -58,6 +59,22 @@
     REQUIRE(reply.listing->ended.size() == 2);
     CHECK(reply.listing->ended[0].kind == EndKind::Done);
     CHECK(reply.listing->ended[1].kind == EndKind::Broken);
+    CHECK_FALSE(reply.listing->isComplete);
+}
+
+// Guards against runs that are taken for gone since their row, or the whole list, could not be read.
+TEST_CASE("A listing is complete only if all its rows can be read, and there is none without two lists")
+{
+    const auto parse = [](const std::string &running, const std::string &finished) {
+        const std::string body
+            = absl::StrCat(R"({"clock-ms":10,"running":)", running, R"(,"finished":)", finished, "}");
+        return parseWorkerReply(4, answered(200, body)).listing;
+    };
+    CHECK(parse(R"([["a.0.1.2",3,"",41]])", R"([[58,"a.0.1.9",1,"done",""]])")->isComplete);
+    CHECK_FALSE(parse(R"([["a.0.1.2.3",3,"",41]])", "[]")->isComplete);
+    CHECK_FALSE(parse("[]", R"([[58,"a.0.1.2.3",1,"done",""]])")->isComplete);
+    CHECK_FALSE(parse(R"({"a.0.1.2":3})", "[]"));
+    CHECK_FALSE(parse("[]", "null"));
 }
 
 TEST_CASE("An answer without lists yields no listing, so that no run is treated as gone")
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -158,6 +158,27 @@
     CHECK(supervisor.state().worker.empty());
 }
 
+// Guards against tasks that run twice: a row that can't be read may be that of the run.
+TEST_CASE("A run that an incomplete listing lacks is not gone, and the worker gets no new runs until one is complete")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
+    WorkerReply incomplete = listed(poll.callId, {});
+    incomplete.listing->isComplete = false;
+    supervisor.handleReply(incomplete, Start + Milliseconds(200));
+    CHECK(OutputByKind(supervisor.takeOutput()).ends.empty());
+    CHECK_FALSE(supervisor.isReconciled());
+    CHECK_FALSE(supervisor.freeCapacity().takesRuns);
+
+    supervisor.tick(Start + Milliseconds(310));
+    const OutputByKind next(supervisor.takeOutput());
+    REQUIRE(next.polls.size() == 1);
+    supervisor.handleReply(listed(next.polls[0].callId, {{"a", 0, 0, 1}}), Start + Milliseconds(311));
+    CHECK(OutputByKind(supervisor.takeOutput()).ends.empty());
+    CHECK(supervisor.freeCapacity().takesRuns);
+}
+
 // Guards against an agent that no longer follows its worker, and against leases that outlast what the agent assumes.
 TEST_CASE("A sequence number or clock that is too large hides no later announcement and extends no lease")
 {
