Dispatch nothing for callers that have left, however early

Cause: the disconnect of a client was an event of another thread. If the client had left before its request was handed over, the event could overtake the request; the scheduler did not know the call yet and dropped it. If it came one pass later, tasks were started and then stopped. Evidence: the jobs that ran twice have no caller_gone line and end as done or with deadline_passed 1.5 s after the entry woke; the others have one.

Change: the HTTP server watches a connection before it hands its request over, and the entry asks for the closed connections in each pass, after it has taken the events and before it dispatches. Requests of callers that have left are dropped, with a log line and a count, and their connections are closed; before, they stayed open for good. Why this works: every request that a pass holds has been watched since before it was queued, so the look sees each disconnect that has arrived by then, in whichever order. The thread that watched for disconnects is gone.

--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -17,7 +17,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <cerrno>
 #include <cstring>
 #include <map>
@@ -62,6 +61,8 @@
     ~Impl();
 
     void reply(const HttpResponse &response);
+    std::vector<uint64_t> takeDisconnected();
+    bool isPending(uint64_t token) const;
 
 private:
     /** A request and its response. */
@@ -85,7 +86,6 @@
     static void onCompleted(void *self, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code);
 
     void watchForDisconnect(MHD_Connection *connection, uint64_t token);
-    void reportDisconnects();
 
     Exchange *beginExchange(MHD_Connection *connection, const char *url, const char *method);
     void appendBody(Exchange &exchange, const char *data, size_t size) const;
@@ -95,13 +95,11 @@
     const HttpServerOptions options_;
     const AsyncHandler asyncHandler_;
     const SyncHandler syncHandler_;
-    absl::Mutex mutex_;
+    mutable absl::Mutex mutex_;
     uint64_t lastToken_ ABSL_GUARDED_BY(mutex_) = 0;
     absl::flat_hash_map<uint64_t, Exchange *> pending_ ABSL_GUARDED_BY(mutex_);
     MHD_Daemon *daemon_ = nullptr;
     int disconnectEpoll_ = -1; ///< Epoll descriptor that watches the sockets of pending requests.
-    std::atomic<bool> stopping_{false};
-    std::thread disconnectThread_;
 };
 
 HttpServer::Impl::Impl(HttpServerOptions options, AsyncHandler asyncHandler, SyncHandler syncHandler)
@@ -116,7 +114,7 @@
         throw Error(
             ErrorKind::Settings, options_.listenAddress, "is not a valid address", "use an IP address and a port");
     }
-    if (options_.onClientDisconnected) {
+    if (options_.watchesDisconnects) {
         disconnectEpoll_ = epoll_create1(EPOLL_CLOEXEC);
         if (disconnectEpoll_ < 0) {
             throw Error(ErrorKind::Unavailable,
@@ -156,9 +154,6 @@
                     std::strerror(error),
                     "free the port or configure another one");
     }
-    if (disconnectEpoll_ >= 0) {
-        disconnectThread_ = std::thread([this] { reportDisconnects(); });
-    }
 }
 
 /** MHD does not poll the socket of a suspended connection, so disconnects are detected with a separate epoll set. */
@@ -180,23 +175,28 @@
     }
 }
 
-void HttpServer::Impl::reportDisconnects()
+std::vector<uint64_t> HttpServer::Impl::takeDisconnected()
 {
-    constexpr int WaitMs = 500;
+    std::vector<uint64_t> tokens;
+    absl::MutexLock lock(&mutex_);
     std::array<epoll_event, MaxDisconnectEvents> events{};
-    while (!stopping_) {
-        const int count = epoll_wait(disconnectEpoll_, events.data(), MaxDisconnectEvents, WaitMs);
+    int count = disconnectEpoll_ < 0 || pending_.empty() ? 0 : MaxDisconnectEvents;
+    while (count == MaxDisconnectEvents) {
+        count = epoll_wait(disconnectEpoll_, events.data(), MaxDisconnectEvents, 0);
         for (int i = 0; i < count; ++i) {
             const uint64_t token = events.at(static_cast<size_t>(i)).data.u64;
-            {
-                absl::MutexLock lock(&mutex_);
-                if (!pending_.contains(token)) {
-                    continue;
-                }
+            if (pending_.contains(token)) {
+                tokens.push_back(token);
             }
-            options_.onClientDisconnected(token);
         }
     }
+    return tokens;
+}
+
+bool HttpServer::Impl::isPending(uint64_t token) const
+{
+    absl::MutexLock lock(&mutex_);
+    return pending_.contains(token);
 }
 
 HttpServer::Impl::~Impl()
@@ -219,8 +219,6 @@
     std::this_thread::sleep_for(StopFlushTime);
     MHD_stop_daemon(daemon_);
     if (disconnectEpoll_ >= 0) {
-        stopping_ = true;
-        disconnectThread_.join();
         close(disconnectEpoll_);
     }
 }
@@ -368,4 +366,14 @@
     impl_->reply(response);
 }
 
+std::vector<uint64_t> HttpServer::takeDisconnected()
+{
+    return impl_->takeDisconnected();
+}
+
+bool HttpServer::isPending(uint64_t token) const
+{
+    return impl_->isPending(token);
+}
+
 } // namespace marjoramferry
--- a/connection/http_server.h
+++ b/connection/http_server.h
@@ -19,8 +19,7 @@
     unsigned connectionLimit = 4000;
     std::vector<std::string> headers; ///< Lower-case names of the request headers to copy into HttpRequest.
     bool includeQuery = false; ///< Whether to copy the query parameters into HttpRequest.
-    /** Called on a separate thread when the client of a pending request disconnects. May be empty. */
-    std::function<void(uint64_t token)> onClientDisconnected;
+    bool watchesDisconnects = false; ///< Whether takeDisconnected() reports clients that disconnect.
 };
 
 /** An HTTP server with a single I/O thread. Pending requests are suspended and hold no thread. */
@@ -43,6 +42,15 @@
     /** Answers the request with this token. Does nothing if the request is not pending. */
     void reply(const HttpResponse &response);
 
+    /**
+     * Returns the pending requests whose client has disconnected since the last call. A request is watched before it
+     * is passed to the AsyncHandler, so none that the handler has accepted is missed, however early its client left.
+     */
+    std::vector<uint64_t> takeDisconnected();
+
+    /** Whether the request with this token still waits for its response. */
+    bool isPending(uint64_t token) const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -35,13 +35,13 @@
     return handlers;
 }
 
-HttpServerOptions makeJobServerOptions(const WorkEntrySettings &settings, BoundedQueue<WorkEntryEvent> &events)
+HttpServerOptions makeJobServerOptions(const WorkEntrySettings &settings)
 {
     HttpServerOptions options;
     options.listenAddress = settings.httpListen;
     options.maxBodyBytes = settings.maxBodyBytes;
     options.headers = platform::jobRequestHeaders();
-    options.onClientDisconnected = [&events](uint64_t token) { events.push(CallAbandoned{token}); };
+    options.watchesDisconnects = true;
     return options;
 }
 
@@ -78,7 +78,7 @@
     , entryRegistry_(storeClient_,
                      [this](std::vector<std::string> addresses) { events_.push(EntryListRead{std::move(addresses)}); })
     , jobServer_(
-          makeJobServerOptions(settings, events_),
+          makeJobServerOptions(settings),
           [this](const HttpRequest &request) { return handleJobRequest(request); },
           [](const HttpRequest &) { return std::nullopt; })
     , readinessServer_(
@@ -152,9 +152,7 @@
             operatorFeed_.tick(now);
             entryRegistry_.tick(now);
         }
-        for (const WorkEntryEvent &event : batch) {
-            core_.handle(event, monotonicNow());
-        }
+        handlePass(batch);
         for (WorkEntryCommand &command : core_.flush(monotonicNow())) {
             execute(command);
         }
@@ -166,6 +164,44 @@
     links_.stop();
 }
 
+/**
+ * Handles events, without those of callers that have disconnected. The connections are checked after the events were
+ * taken from the queue and before tasks are dispatched: a process that wakes has events of callers that left while it
+ * stood still, and these have sent their job to another entry since.
+ */
+void WorkEntryProcess::handlePass(const std::vector<WorkEntryEvent> &events)
+{
+    const std::vector<uint64_t> disconnected = jobServer_.takeDisconnected();
+    std::ranges::for_each(disconnected, [this](uint64_t token) { endCall(token); });
+    for (const WorkEntryEvent &event : events) {
+        const auto *submission = std::get_if<SubmitWork>(&event);
+        if (submission != nullptr && !jobServer_.isPending(submission->address.token)) {
+            writeLog(LogEvent{LogEvent::Level::Info,
+                              "call_dropped",
+                              {{"request", submission->address.requestId},
+                               {"path", submission->address.path},
+                               {"reason", "caller_gone"}}});
+            metrics_.observe(Observation{"calls_dropped", "", "caller_gone", 0});
+            continue;
+        }
+        core_.handle(event, monotonicNow());
+    }
+    for (const uint64_t token : disconnected) {
+        core_.handle(CallAbandoned{token}, monotonicNow());
+    }
+}
+
+/** Closes the connection of a caller that has disconnected. One that only closed its sending side gets the answer. */
+void WorkEntryProcess::endCall(uint64_t token)
+{
+    CallResponse response;
+    response.token = token;
+    response.status = ResponseStatus::Interrupted;
+    response.errorMessage = "the connection was closed before the answer";
+    response.closesConnection = true;
+    jobServer_.reply(platform::toHttpResponse(response));
+}
+
 /** Rejects the calls that arrived after the core stopped. */
 void WorkEntryProcess::rejectRemaining()
 {
--- a/process/work_entry_process.h
+++ b/process/work_entry_process.h
@@ -12,6 +12,8 @@
 #include "request/work_entry.h"
 
 #include <atomic>
+#include <cstdint>
+#include <vector>
 
 namespace marjoramferry {
 
@@ -38,6 +40,8 @@
     void drain();
 
 private:
+    void handlePass(const std::vector<WorkEntryEvent> &events);
+    void endCall(uint64_t token);
     void execute(WorkEntryCommand &command);
     void rejectRemaining();
     void rejectCall(uint64_t token);
