Bound the depth, numbers and addresses of what another writer may leave

What operators of other systems saw: one odd entry ended the processes that read it, or they stopped following the list. Here an announcement nested in 500,000 levels ended an agent and such a job an entry (SIGSEGV), a sequence number out of range hid the announcements of the worker, and a row of the entries table with an impossible port was passed on to every agent.

Cause: JSON values were copied by recursion, large unsigned numbers wrapped to negative ones, and addresses and names were not checked.

Change: JSON nested in more than 64 levels is not parsed, wherever it comes from.

--- a/connection/endpoint_client.cpp
+++ b/connection/endpoint_client.cpp
@@ -1,6 +1,7 @@
 #include "connection/endpoint_client.h"
 
 #include "core/clock.h"
+#include "core/json_nesting.h"
 
 #include <nlohmann/json.hpp>
 
@@ -47,7 +48,8 @@
         result.output = http.errorMessage;
         return result;
     }
-    const json body = json::parse(http.body, nullptr, false);
+    // A body that is nested too deeply counts as one that is not JSON.
+    const json body = isNestedTooDeeply(http.body) ? json() : json::parse(http.body, nullptr, false);
     if (http.status == StatusUnavailable && isMarkedNotRun(body)) {
         result.state = wire::StartState::REFUSED;
         return result;
--- a/connection/table_client.cpp
+++ b/connection/table_client.cpp
@@ -1,5 +1,6 @@
 #include "connection/table_client.h"
 
+#include "core/json_nesting.h"
 #include "event/message.h"
 
 #include <nlohmann/json.hpp>
@@ -38,7 +39,7 @@
         return result;
     }
     try {
-        const json body = json::parse(http.body);
+        const json body = isNestedTooDeeply(http.body) ? json() : json::parse(http.body);
         result.version = body.at("version").get<int64_t>();
         for (const json &row : body.value("rows", json::array())) {
             result.rows.push_back(Row{row.at("key").get<std::string>(),
--- /dev/null
+++ b/core/json_nesting.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string_view>
+
+namespace marjoramferry {
+
+/** The JSON library copies and writes values by recursion, so their depth must be bounded before they are parsed. */
+inline constexpr int MaxJsonNesting = 64;
+
+/** Whether arrays and objects in the JSON @p text are nested in more than MaxJsonNesting levels. */
+bool isNestedTooDeeply(std::string_view text);
+
+} // namespace marjoramferry
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -8,7 +8,8 @@
 Entries, agents and stand-ins for the platform's store and workers run as separate processes on
 loopback. Agents connect to the entries through proxies that delay, block or reset connections.
 Processes are killed, paused, terminated and restarted; the store is slow, unavailable, loses data or
-loses responses; workers restart, stall, fail and execute orders late. Callers resubmit interrupted
+loses responses; workers restart, stall, fail and execute orders late. Another writer leaves odd entries: nested too
+deeply, with numbers or ports out of range, or for workers that aren't there. No program may crash. Callers resubmit interrupted
 jobs as the platform's clients do. Only processes started by the run are ended, by process id.
 """
 import argparse
@@ -30,6 +31,7 @@
 WORKER_DOWNTIME_S = 2
 RESUBMIT_DELAY_S = 1.3  # Clients resubmit a job this long after its connection broke.
 BUILD = os.environ.get("BUILD", "build/release")
+CRASH_SIGNALS = (signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGILL, signal.SIGFPE)
 
 
 class Proxy:
@@ -79,6 +81,7 @@
     def __init__(self, work, base, rng):
         self.work, self.base, self.rng = work, base, rng
         self.processes = {}
+        self.crashed = set()
         self.store = base
         self.link_port_kind = "proxy"  # Agents connect to the entries through the proxies.
 
@@ -90,9 +93,15 @@
         return f"127.0.0.1:{self.port(kind, index)}"
 
     def start(self, name, *command):
+        self.record_crash(name)
         log = open(f"{self.work}/{name}.log", "ab")
         self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
 
+    def record_crash(self, name):
+        process = self.processes.get(name)
+        if process and process.poll() in [-number for number in CRASH_SIGNALS]:
+            self.crashed.add(name)
+
     def start_by_name(self, name):
         # A name is a kind of five letters, followed by an index except for the store.
         index = int(name[5:]) if name[5:].isdigit() else 0
@@ -141,7 +150,8 @@
             await asyncio.sleep(0.02)
 
     def kill_all(self):
-        for process in self.processes.values():
+        for name, process in self.processes.items():
+            self.record_crash(name)
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
@@ -154,7 +164,8 @@
     async def send_request():
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         try:
-            data = json.dumps(body).encode() if body is not None else b""
+            text = body if isinstance(body, str) else json.dumps(body) if body is not None else ""
+            data = text.encode()
             header_lines = [f"{method} {path} HTTP/1.1", "Connection: close", f"Content-Length: {len(data)}", *headers]
             writer.write("\r\n".join(header_lines).encode() + b"\r\n\r\n" + data)
             await writer.drain()
@@ -198,15 +209,39 @@
         entry = (entry + 1) % ENTRIES
 
 
+async def write_row(deployment, table, key, value):
+    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value.encode()).decode()}
+    await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
+
+
+async def write_odd_entries(deployment, rng, seconds):
+    """Sends what another writer may send to the agents, and leaves rows among those of the entries."""
+    end = time.monotonic() + seconds
+    deep = "[" * 500_000 + "]" * 500_000
+    while time.monotonic() < end:
+        await asyncio.sleep(rng.uniform(0.1, 1.0))
+        if rng.random() < 0.3:
+            await write_row(deployment, "entries", f"odd {rng.randrange(3)}",
+                            rng.choice(["127.0.0.1:99999", "[" * 1000, "18446744073709551616", "127.0.0.1"]))
+            continue
+        index = rng.randrange(WORKERS)
+        name = rng.choice([f"w-{index}", "w-other"])
+        beat = {"service": rng.choice(["orders", "unknown"]), "addr": f"127.0.0.1:{rng.choice([9, 99999])}",
+                "zone": "north", "state": "ready", "capacity": {"cpu": 32000, "mem-mb": 4096, "gpu": 0}, "labels": [],
+                "clock-ms": rng.choice([5, 2**53, 2**64]), "seq": rng.choice([1, 2**53, 2**64]),
+                "born": rng.choice([1, int(time.time() * 1000), 2**53])}
+        body = json.dumps(beat)
+        if rng.random() < 0.3:
+            body = body.replace('"labels": []', f'"labels": {deep}')
+        await http(deployment.port("agent_http", index), "PUT", f"/api/instances/{name}", body, timeout=1)
+
+
 async def publish_configuration(deployment):
     """Writes an operator configuration with one queue to the store."""
     configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
                                                "service": "orders", "target-latency-ms": 60, "max-attempts": 3,
                                                "priority": 0, "stretch": 1.6}]}
-    value = base64.b64encode(json.dumps(configuration).encode()).decode()
-    await http(deployment.store, "POST", "/api/rows-tx",
-               {"expected-rev": [], "remove": [],
-                "writes": [{"table": "op", "part": "", "key": "config", "value": value}]})
+    await write_row(deployment, "op", "config", json.dumps(configuration))
 
 
 async def inject_faults(deployment, seconds):
@@ -326,13 +361,14 @@
         await asyncio.sleep(2)
         results, clients = [], []
         fault_task = asyncio.create_task(inject_faults(deployment, seconds))
+        odd_task = asyncio.create_task(write_odd_entries(deployment, random.Random(f"odd {seed}"), seconds))
         worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(WORKERS)]
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
             job = f"{rng.getrandbits(64):016x}"
             clients.append(asyncio.create_task(client(deployment, job, results, rng.random() < CRASHING_SHARE)))
             await asyncio.sleep(rng.uniform(0.02, 0.08))
-        await fault_task
+        await asyncio.gather(fault_task, odd_task)
         await asyncio.gather(*clients)
         # All jobs must be served again after the last fault.
         final_results, clients = [], []
@@ -348,6 +384,7 @@
     finally:
         deployment.kill_all()
     violations = find_violations(work, results + final_results)
+    violations += [f"{name} crashed" for name in sorted(deployment.crashed)]
     served = sum(1 for record in final_results if record.get("answer", (0, ""))[0] == 200)
     if served < len(final_results):
         violations.append(f"after the faults {served} of {len(final_results)} jobs were served")
--- a/tests/platform/parser_fuzz_test.cpp
+++ b/tests/platform/parser_fuzz_test.cpp
@@ -187,6 +187,32 @@
     });
 }
 
+// Guards against processes that one deeply nested value ends: the JSON library copies and writes values by recursion.
+TEST_CASE("A value nested in 500,000 levels, in any field, gets an error or is skipped")
+{
+    constexpr size_t Levels = 500'000;
+    const std::string deep = std::string(Levels, '[') + std::string(Levels, ']');
+    for (const std::string &valid : {JobBody, Announcement, Listing, Rows, Configuration, StandingJob, Note}) {
+        const nlohmann::json parsed = nlohmann::json::parse(valid);
+        for (const auto &[field, value] : parsed.items()) {
+            nlohmann::json marked = parsed;
+            marked[field] = "deep";
+            const std::string text = marked.dump();
+            const size_t place = text.find("\"deep\"");
+            const std::string body = text.substr(0, place) + deep + text.substr(place + 6);
+            const HttpResult answered{HttpOutcome::Answered, 200, body, ""};
+            CHECK(std::holds_alternative<HttpResponse>(parseJobCall(HttpRequest{1, "POST", "/q/id", body, {}, {}})));
+            CHECK(std::holds_alternative<HttpResponse>(
+                parseWorkerNotification(HttpRequest{1, "PUT", "/api/instances/i", body, {}, {}})));
+            CHECK_FALSE(parseWorkerReply(1, answered).listing);
+            CHECK(parseStoreAnswer(answered).outcome == StoreOutcome::Malformed);
+            CHECK_FALSE(parseConfiguration(body));
+            CHECK_THROWS_AS(parseJob(body, JobLimits{}), Error);
+            CHECK_THROWS_AS(ReleaseNote::fromJson(body), Error);
+        }
+    }
+}
+
 TEST_CASE("Malformed jobs and release notes of the standing interface: a typed error")
 {
     fuzz(StandingJob, [](const std::string &body) { parseJob(body, JobLimits{}); });
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/entry_registry.h"
 #include "platform/operator_rows.h"
 #include "platform/store_client.h"
 
@@ -51,6 +52,19 @@
     CHECK(answer.rows == std::vector<StoreRow>{row("config", "hi", 4), row("k", "", 5, true)});
 }
 
+// Guards against readers of the list that follow an odd row, or pass it on to all others.
+TEST_CASE("The addresses of entries are those of the rows with an IP address and a valid port")
+{
+    const std::vector<StoreRow> rows = {row("entry-0", "10.0.0.1:7720", 1),
+                                        row("entry-1", "10.0.0.2:7720", 1),
+                                        row("odd-0", "10.0.0.3:77200", 1),
+                                        row("odd-1", std::string(60'000, '['), 1),
+                                        row("odd-2", "184467440737095516160", 1),
+                                        row("odd-3", std::string("\0\xff\n", 3), 1),
+                                        row("entry-2", "10.0.0.4:7720", 1, true)};
+    CHECK(entryAddresses(rows, "entry-0") == std::vector<std::string>{"10.0.0.2:7720"});
+}
+
 TEST_CASE("A configuration is parsed, and malformed routes are skipped")
 {
     const auto state = parseConfiguration(configuration(7, "orders"));
--- a/version/json_fields.cpp
+++ b/version/json_fields.cpp
@@ -1,6 +1,7 @@
 #include "version/json_fields.h"
 
 #include "core/error.h"
+#include "core/json_nesting.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -21,6 +22,12 @@
 
 json parseJson(std::string_view text, const std::string &subject)
 {
+    if (isNestedTooDeeply(text)) {
+        throw Error(ErrorKind::Malformed,
+                    subject,
+                    absl::StrCat("is nested in more than ", MaxJsonNesting, " levels"),
+                    "send flatter JSON");
+    }
     try {
         return json::parse(text);
     } catch (const json::exception &) {
