Call the announced process a candidate, not a claim

Claims are the owners' records of jobs (docs/GLOSSARY.md); the announcement of another process is something else. Renames only: WorkerClaim is SuccessorCandidate, the log event worker_claimed is successor_announced.

--- a/request/worker_claim.h
+++ b/request/successor_candidate.h
@@ -7,10 +7,10 @@
 
 namespace marjoramferry {
 
-/** What the replies of the known process of a worker say about a claim that another process replaced it. */
-enum class ClaimVerdict {
+/** What a reply of the known process of a worker says about the announcement of a successor. */
+enum class CandidateVerdict {
     Undecided,
-    Confirmed,
+    Confirmed, ///< The successor has answered, or the known process is no longer at its address.
     Refuted, ///< The known process has answered.
 };
 
@@ -18,11 +18,11 @@
  * The announcement of another process than the one that an agent knows beside it. Any writer can send one, so it is
  * no evidence that the known process has ended: only what answers at the address of that process is.
  */
-class WorkerClaim
+class SuccessorCandidate
 {
 public:
-    /** @p lastCallId is that of the last call sent before the claim. */
-    WorkerClaim(WorkerAnnouncement announcement, int64_t lastCallId, MonotonicTime now);
+    /** @p lastCallId is that of the last call sent before the announcement. */
+    SuccessorCandidate(WorkerAnnouncement announcement, int64_t lastCallId, MonotonicTime now);
 
     const WorkerAnnouncement &announcement() const
     {
@@ -39,11 +39,11 @@
     void update(const WorkerAnnouncement &announcement);
 
     /** @p known is the process that the call was sent to, as of this reply. */
-    ClaimVerdict judge(const WorkerReply &reply, const WorkerIdentity &known) const;
+    CandidateVerdict judge(const WorkerReply &reply, const WorkerIdentity &known) const;
 
 private:
     WorkerAnnouncement announcement_;
-    int64_t lastCallId_; ///< Answers to this call and earlier ones may be older than the claim.
+    int64_t lastCallId_; ///< Answers to this call and earlier ones may be older than the announcement.
     MonotonicTime since_;
 };
 
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -202,9 +202,9 @@
         return;
     }
     if (isOtherProcess) {
-        const bool wasClaimed
-            = claim_ && claim_->announcement().identity == WorkerIdentity{worker_->identity.id, startTimeMs};
-        handleRestart(startTimeMs, wasClaimed ? claim_->since() : now, now);
+        const bool wasAnnounced
+            = candidate_ && candidate_->announcement().identity == WorkerIdentity{worker_->identity.id, startTimeMs};
+        handleRestart(startTimeMs, wasAnnounced ? candidate_->since() : now, now);
     }
     if (reply.clockMs) {
         lease_.observeClock(*reply.clockMs, now);
@@ -228,7 +228,7 @@
         pendingPolls_.erase(poll);
         onPollReply(sent, reply, now);
     }
-    judgeClaim(reply, now);
+    judgeCandidate(reply, now);
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
@@ -476,7 +476,7 @@
     if (!worker_ || !isPollNeeded(now)) {
         return;
     }
-    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || claim_;
+    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || candidate_;
     if (isRetry && now - lastPollAt_ < timing_.retryDelay) {
         return;
     }
@@ -491,7 +491,7 @@
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || claim_ || lastEndAcknowledged_ < lastEndSeen_;
+        return !runs_.empty() || !isReconciled_ || candidate_ || lastEndAcknowledged_ < lastEndSeen_;
     }
     return pendingPolls_.size() == 1 && !runs_.empty()
         && now - pendingPolls_.begin()->second.sentAt >= timing_.secondPollDelay;
@@ -550,7 +550,7 @@
         forgetWorker();
         return;
     }
-    acceptUnopposedClaim(now);
+    acceptUnopposedCandidate(now);
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -4,7 +4,7 @@
 #include "event/log_event.h"
 #include "request/crash_evidence.h"
 #include "request/crash_log.h"
-#include "request/worker_claim.h"
+#include "request/successor_candidate.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
 
@@ -153,10 +153,10 @@
 
     void updateWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
     void discard(const WorkerAnnouncement &announcement, const std::string &reason);
-    void handleClaim(const WorkerAnnouncement &announcement, MonotonicTime now);
-    void judgeClaim(const WorkerReply &reply, MonotonicTime now);
-    void acceptUnopposedClaim(MonotonicTime now);
-    void acceptClaim(MonotonicTime now);
+    void handleCandidate(const WorkerAnnouncement &announcement, MonotonicTime now);
+    void judgeCandidate(const WorkerReply &reply, MonotonicTime now);
+    void acceptUnopposedCandidate(MonotonicTime now);
+    void acceptCandidate(MonotonicTime now);
     void adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
     void forgetWorker();
     void handleReplacement(MonotonicTime now);
@@ -196,7 +196,7 @@
 
     const WorkerTiming timing_;
     std::optional<WorkerAnnouncement> worker_; ///< The known process, as last announced.
-    std::optional<WorkerClaim> claim_; ///< That another process has replaced it.
+    std::optional<SuccessorCandidate> candidate_; ///< An announced process that may have replaced it.
     bool hasDeparted_ = false; ///< It has said that it ends, and still has runs.
     CrashEvidence crashEvidence_; ///< About the current process of the worker.
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -14,7 +14,7 @@
     } else if (announcement.identity == worker_->identity) {
         updateWorker(announcement, now);
     } else {
-        handleClaim(announcement, now);
+        handleCandidate(announcement, now);
     }
 }
 
@@ -59,28 +59,28 @@
 }
 
 /** Handles the announcement of another process: asks the known one whether it is still there. */
-void WorkerSupervisor::handleClaim(const WorkerAnnouncement &announcement, MonotonicTime now)
+void WorkerSupervisor::handleCandidate(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
-    const WorkerIdentity &claimed = announcement.identity;
-    const bool isSameName = claimed.id == worker_->identity.id;
-    if (isSameName && claimed.startTimeMs < worker_->identity.startTimeMs && hasAnswered()) {
+    const WorkerIdentity &candidate = announcement.identity;
+    const bool isSameName = candidate.id == worker_->identity.id;
+    if (isSameName && candidate.startTimeMs < worker_->identity.startTimeMs && hasAnswered()) {
         discard(announcement, "older_process");
         return;
     }
-    if (claim_ && claim_->announcement().identity == claimed) {
-        claim_->update(announcement);
+    if (candidate_ && candidate_->announcement().identity == candidate) {
+        candidate_->update(announcement);
         return;
     }
     log(LogEvent::Level::Warning,
-        "worker_claimed",
+        "successor_announced",
         {{"worker", worker_->identity.id},
-         {"claimed", claimed.id},
+         {"candidate", candidate.id},
          {"service", announcement.service},
          {"address", announcement.address},
-         {"start_time_ms", absl::StrCat(claimed.startTimeMs)},
+         {"start_time_ms", absl::StrCat(candidate.startTimeMs)},
          {"runs", absl::StrCat(runs_.size())}});
-    const bool isFirst = !claim_;
-    claim_.emplace(announcement, lastCallId_, now);
+    const bool isFirst = !candidate_;
+    candidate_.emplace(announcement, lastCallId_, now);
     if (isSameName) {
         raiseFence(fence_ + 1); // Settles the starts that may be under way to either process.
     }
@@ -89,34 +89,35 @@
     }
 }
 
-void WorkerSupervisor::judgeClaim(const WorkerReply &reply, MonotonicTime now)
+void WorkerSupervisor::judgeCandidate(const WorkerReply &reply, MonotonicTime now)
 {
-    if (!claim_ || !worker_) {
+    if (!candidate_ || !worker_) {
         return;
     }
-    switch (claim_->judge(reply, worker_->identity)) {
-    case ClaimVerdict::Undecided:
+    switch (candidate_->judge(reply, worker_->identity)) {
+    case CandidateVerdict::Undecided:
         return;
-    case ClaimVerdict::Refuted:
-        discard(std::exchange(claim_, std::nullopt)->announcement(), "known_process_answered");
+    case CandidateVerdict::Refuted:
+        discard(std::exchange(candidate_, std::nullopt)->announcement(), "known_process_answered");
         return;
-    case ClaimVerdict::Confirmed:
-        acceptClaim(now);
+    case CandidateVerdict::Confirmed:
+        acceptCandidate(now);
         return;
     }
 }
 
-/** Accepts the claim if the known process has no runs and has not answered for the duration of a lease. */
-void WorkerSupervisor::acceptUnopposedClaim(MonotonicTime now)
+/** Accepts the candidate if the known process has no runs and has not answered for the duration of a lease. */
+void WorkerSupervisor::acceptUnopposedCandidate(MonotonicTime now)
 {
-    if (claim_ && runs_.empty() && lastReplyAt_ < claim_->since() && now - claim_->since() > timing_.leaseDuration) {
-        acceptClaim(now);
+    if (candidate_ && runs_.empty() && lastReplyAt_ < candidate_->since()
+        && now - candidate_->since() > timing_.leaseDuration) {
+        acceptCandidate(now);
     }
 }
 
-void WorkerSupervisor::acceptClaim(MonotonicTime now)
+void WorkerSupervisor::acceptCandidate(MonotonicTime now)
 {
-    const WorkerAnnouncement announcement = std::exchange(claim_, std::nullopt)->announcement();
+    const WorkerAnnouncement announcement = std::exchange(candidate_, std::nullopt)->announcement();
     if (announcement.identity.id != worker_->identity.id) {
         adoptWorker(announcement, now);
         return;
@@ -172,7 +173,7 @@
 void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     worker_ = announcement;
-    claim_.reset();
+    candidate_.reset();
     hasDeparted_ = false;
     crashEvidence_.beginProcess(worker_->identity, lastCallId_);
     lastAnnouncementAt_ = now;
@@ -215,7 +216,7 @@
 void WorkerSupervisor::forgetWorker()
 {
     worker_.reset();
-    claim_.reset();
+    candidate_.reset();
     hasDeparted_ = false;
     isReconciled_ = false;
 }
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -31,9 +31,9 @@
     const WorkerAnnouncement foreign
         = foreignAnnouncement(GENERATE("worker-1", "other"), GENERATE(6, 8, std::numeric_limits<int64_t>::max()));
     supervisor.handleAnnouncement(foreign, Start + Milliseconds(90));
-    WorkerSupervisor::Output claimed = supervisor.takeOutput();
-    CHECK(claimed.crashes.empty());
-    const OutputByKind calls(std::move(claimed));
+    WorkerSupervisor::Output announced = supervisor.takeOutput();
+    CHECK(announced.crashes.empty());
+    const OutputByKind calls(std::move(announced));
     CHECK(calls.ends.empty());
 
     // The answer to a call that was sent before proves nothing.
@@ -86,10 +86,10 @@
     WorkerAnnouncement next = announcement(1, 8);
     next.identity.id = "worker-2";
     next.address = "10.0.0.1:81";
-    const MonotonicTime claimedAt = Start + Milliseconds(5);
-    supervisor.handleAnnouncement(next, claimedAt);
+    const MonotonicTime announcedAt = Start + Milliseconds(5);
+    supervisor.handleAnnouncement(next, announcedAt);
     size_t ends = 0;
-    for (MonotonicTime now = claimedAt; now <= claimedAt + Milliseconds(580); now += Milliseconds(20)) {
+    for (MonotonicTime now = announcedAt; now <= announcedAt + Milliseconds(580); now += Milliseconds(20)) {
         supervisor.tick(now);
         const OutputByKind output(supervisor.takeOutput());
         ends += output.ends.size();
@@ -100,7 +100,7 @@
     }
     CHECK(ends == 0);
     CHECK(supervisor.state().worker == "worker-1");
-    supervisor.tick(claimedAt + Milliseconds(800));
+    supervisor.tick(announcedAt + Milliseconds(800));
     CHECK(OutputByKind(supervisor.takeOutput()).ends.size() == (hasRun ? 1 : 0));
     CHECK(supervisor.state().worker == "worker-2");
 }
