--- a/misc/remove_guards.py
+++ b/misc/remove_guards.py
@@ -121,6 +121,21 @@
      "return mayHaveRun ? ResponseStatus::Interrupted", "return mayHaveRun ? ResponseStatus::Rejected"),
     ("a stopping entry joins a job that it runs", "request/work_entry.cpp",
      "drainingSince_ && !scheduler_.hasJob(jobId) && ", "drainingSince_ && "),
+    ("another process is believed on evidence only", "request/worker_supervisor_identity.cpp",
+     "        handleCandidate(announcement, now);\n", "        handleReplacement(now);\n        adoptWorker(announcement, now);\n"),
+    ("a silent worker is replaced only after a lease", "request/worker_supervisor_identity.cpp",
+     "now - candidate_->since() > timing_.leaseDuration", "true"),
+    ("answers from before an announcement don't refute it", "request/successor_candidate.cpp",
+     "if (reply.callId <= lastCallId_) {", "if (reply.callId < 0) {"),
+    ("a leaving worker keeps its runs", "request/worker_supervisor_identity.cpp",
+     "    if (runs_.empty()) {\n", "    dropAllRuns(\"worker_left\", lastReplyAt_);\n    if (runs_.empty()) {\n"),
+    ("an incomplete listing ends no run", "request/worker_supervisor.cpp",
+     "        if (!listing.isComplete) {", "        if (false) {"),
+    ("an announced clock is bounded", "request/worker_lease.cpp",
+     "std::min(clockMs, *clockMs_ + elapsed + elapsed * ClockDriftPerMille / 1000)",
+     "clockMs + 0 * elapsed * ClockDriftPerMille"),
+    ("an odd sequence number hides nothing", "request/worker_supervisor_identity.cpp",
+     " && announcement.clockMs <= worker_->clockMs) {", ") {"),
 ]
 
 
