Log which entry a start is sent for, and the age of its proof of life

Cause: the log of a run that ran twice did not show whether one entry or two had ordered the runs, whether a start was a repeat, and how old the ordering entry's proof of life was when it was sent. So the hypotheses of the incident could not be told apart from logs. Change: run_start_sent names the entry, the age of its last echo and the number of the send, and is written for repeated starts too. The proofs of life move from the agent into EntryLiveness, which the supervisor reads.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -41,7 +41,8 @@
 
 WorkAgent::WorkAgent(WorkAgentOptions options)
     : options_(std::move(options))
-    , supervisor_(options_.worker, options_.initialFence)
+    , entryLiveness_(options_.entryTimeout)
+    , supervisor_(options_.worker, options_.initialFence, entryLiveness_)
 {
     std::ranges::for_each(options_.seedAddresses, [this](const std::string &address) { addEntry(address); });
 }
@@ -140,7 +141,7 @@
         log(LogEvent::Level::Info, "entry_connected", {{"entry", event.address}, {"incarnation", batch->incarnation}});
     }
     entry.lastReceivedAt = now;
-    entry.echoedUs = std::max(entry.echoedUs, batch->echoedUs);
+    entryLiveness_.recordEcho(entry.incarnation, entry.session, MonotonicTime(Microseconds(batch->echoedUs)));
     entry.operatorPosition = batch->operatorPosition;
     entry.wantsOperatorState = batch->wantsOperatorState;
     if (entry.isStandby && !batch->standby) {
@@ -149,7 +150,7 @@
     entry.isStandby = batch->standby;
     recordWaitingWork(event.address, *batch, now);
     entry.ends.acknowledge(batch->acknowledged);
-    if (isEntryAlive(entry, now)) {
+    if (entryLiveness_.isAlive(entry.incarnation, now)) {
         entry.isExpired = false;
     }
     const size_t duplicateCount = entry.instructions.acceptBatch(batch->firstSequence, batch->instructions.size());
@@ -189,6 +190,9 @@
         const bool isSameIncarnation = entry.incarnation == batch.incarnation;
         constexpr int64_t AllSessions = std::numeric_limits<int64_t>::max();
         supervisor_.withdrawSessionsBefore(entry.incarnation, isSameIncarnation ? batch.session : AllSessions, now);
+        if (!isSameIncarnation) {
+            entryLiveness_.remove(entry.incarnation);
+        }
     }
     log(LogEvent::Level::Info,
         "session_started",
@@ -289,24 +293,19 @@
 
 void WorkAgent::checkEntryLiveness(Entry &entry, MonotonicTime now)
 {
-    if (entry.isExpired || isEntryAlive(entry, now)) {
+    if (entry.isExpired || entryLiveness_.isAlive(entry.incarnation, now)) {
         return;
     }
     if (!entry.isStandby) {
         log(LogEvent::Level::Warning,
             "entry_expired",
             {{"incarnation", entry.incarnation},
-             {"last_echo_ms_ago", absl::StrCat((clockUs(now) - entry.echoedUs) / 1000)}});
+             {"last_echo_ms_ago", absl::StrCat(millisecondsBetween(entryLiveness_.lastEcho(entry.incarnation), now))}});
     }
     entry.isExpired = true;
     supervisor_.withdrawSessionsBefore(entry.incarnation, entry.session + 1, now);
 }
 
-bool WorkAgent::isEntryAlive(const Entry &entry, MonotonicTime now) const
-{
-    return clockUs(now) - entry.echoedUs <= std::chrono::duration_cast<Microseconds>(options_.entryTimeout).count();
-}
-
 void WorkAgent::applyOperatorState(const wire::OperatorState &state, MonotonicTime now)
 {
     if (operatorStateCache_.updateIfNewer(state)) {
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -6,6 +6,7 @@
 #include "event/process_event.h"
 #include "request/capacity_offers.h"
 #include "request/crash_log.h"
+#include "request/entry_liveness.h"
 #include "request/operator_state_cache.h"
 #include "request/retransmission_queue.h"
 #include "request/worker_supervisor.h"
@@ -97,6 +98,8 @@
 {
 public:
     explicit WorkAgent(WorkAgentOptions options);
+    WorkAgent(const WorkAgent &) = delete;
+    WorkAgent &operator=(const WorkAgent &) = delete;
 
     void handle(const WorkAgentEvent &event, MonotonicTime now);
 
@@ -109,7 +112,6 @@
     {
         std::string incarnation;
         int64_t session = 0;
-        int64_t echoedUs = 0; ///< Latest time of this agent's clock that the entry has echoed.
         RetransmissionQueue<wire::RunEnd> ends;
         DuplicateFilter instructions;
         int64_t operatorPosition = 0;
@@ -155,12 +157,12 @@
     void dispatchSupervisorOutput(MonotonicTime now);
     void sendIfDue(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
     void send(const std::string &address, Entry &entry, const Report &report, MonotonicTime now);
-    bool isEntryAlive(const Entry &entry, MonotonicTime now) const;
     int64_t clockUs(MonotonicTime now) const;
     void stopWhenDone(MonotonicTime now);
     void log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields);
 
     const WorkAgentOptions options_;
+    EntryLiveness entryLiveness_; ///< Of all entries; the supervisor reads it.
     WorkerSupervisor supervisor_;
     CrashLog crashLog_;
     CapacityOffers offers_;
--- a/request/worker_protocol.h
+++ b/request/worker_protocol.h
@@ -59,6 +59,16 @@
     }
 };
 
+/** Identifies an entry's order of a run. An entry that abandons all its runs starts a new session. */
+struct RunOrderId
+{
+    std::string entryIncarnation;
+    int64_t session = 0;
+    int64_t runNumber = 0;
+
+    auto operator<=>(const RunOrderId &) const = default;
+};
+
 /** Address of a call, and the worker it is meant for. */
 struct WorkerTarget
 {
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-WorkerSupervisor::WorkerSupervisor(WorkerTiming timing, int64_t fence)
+WorkerSupervisor::WorkerSupervisor(WorkerTiming timing, int64_t fence, const EntryLiveness &entryLiveness)
     : timing_(timing)
+    , entryLiveness_(entryLiveness)
     , lease_(timing.leaseDuration)
     , fence_(fence)
 {
@@ -162,13 +163,6 @@
 void WorkerSupervisor::startRun(RunRequest request, MonotonicTime now)
 {
     const RunKey key = request.key;
-    log(LogEvent::Level::Info,
-        "run_start_sent",
-        {{"request", request.requestId},
-         {"run", describe(key)},
-         {"worker", worker_->identity.id},
-         {"fence", absl::StrCat(fence_)},
-         {"free_cpu_millis", absl::StrCat(worker_->capacity.cpuMillis - claimedDemand().cpuMillis)}});
     Run run;
     run.request = std::move(request);
     run.firstSentAt = now;
@@ -178,6 +172,17 @@
 void WorkerSupervisor::sendStart(Run &run, MonotonicTime now)
 {
     const RunRequest &request = run.request;
+    const MonotonicTime lastEcho = entryLiveness_.lastEcho(request.orderId.entryIncarnation);
+    log(LogEvent::Level::Info,
+        "run_start_sent",
+        {{"request", request.requestId},
+         {"run", describe(request.key)},
+         {"worker", worker_->identity.id},
+         {"fence", absl::StrCat(fence_)},
+         {"free_cpu_millis", absl::StrCat(worker_->capacity.cpuMillis - claimedDemand().cpuMillis)},
+         {"entry", request.orderId.entryIncarnation},
+         {"last_echo_ms_ago", absl::StrCat(millisecondsBetween(lastEcho, now))},
+         {"send", absl::StrCat(run.startsSent)}});
     run.startCallId = ++lastCallId_;
     run.fence = fence_;
     startCalls_[run.startCallId] = request.key;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -4,6 +4,7 @@
 #include "event/log_event.h"
 #include "request/crash_evidence.h"
 #include "request/crash_log.h"
+#include "request/entry_liveness.h"
 #include "request/successor_candidate.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
@@ -17,16 +18,6 @@
 
 namespace marjoramferry {
 
-/** Identifies an entry's order of a run. An entry that abandons all its runs starts a new session. */
-struct RunOrderId
-{
-    std::string entryIncarnation;
-    int64_t session = 0;
-    int64_t runNumber = 0;
-
-    auto operator<=>(const RunOrderId &) const = default;
-};
-
 /** A run ordered by an entry. */
 struct RunRequest
 {
@@ -72,7 +63,7 @@
 {
 public:
     /** @p fence must be higher than any used by an earlier incarnation of this agent, such as a wall clock time. */
-    WorkerSupervisor(WorkerTiming timing, int64_t fence);
+    WorkerSupervisor(WorkerTiming timing, int64_t fence, const EntryLiveness &entryLiveness);
 
     struct Output
     {
@@ -195,6 +186,7 @@
     void log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields);
 
     const WorkerTiming timing_;
+    const EntryLiveness &entryLiveness_;
     std::optional<WorkerAnnouncement> worker_; ///< The known process, as last announced.
     std::optional<SuccessorCandidate> candidate_; ///< An announced process that may have replaced it.
     bool hasDeparted_ = false; ///< It has said that it ends, and still has runs.
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -110,7 +110,8 @@
 
 TEST_CASE("An agent that adopted the process of an odd announcement changes to its own worker within a lease")
 {
-    WorkerSupervisor supervisor(WorkerTiming{}, FirstFence);
+    EntryLiveness liveness(Milliseconds(700));
+    WorkerSupervisor supervisor(WorkerTiming{}, FirstFence, liveness);
     supervisor.handleAnnouncement(foreignAnnouncement(GENERATE("worker-1", "other"), GENERATE(6, 8)), Start);
     MonotonicTime now = Start;
     for (; now <= Start + Milliseconds(2000); now += Milliseconds(20)) {
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -5,7 +5,8 @@
 
 TEST_CASE("No run is started until the worker has accepted the fence and has no unknown runs")
 {
-    WorkerSupervisor supervisor(WorkerTiming{}, FirstFence);
+    EntryLiveness liveness(Milliseconds(700));
+    WorkerSupervisor supervisor(WorkerTiming{}, FirstFence, liveness);
     supervisor.handleAnnouncement(announcement(1), Start);
     const OutputByKind first(supervisor.takeOutput());
     REQUIRE(first.polls.size() == 1);
--- a/tests/support/supervisor_fixture.h
+++ b/tests/support/supervisor_fixture.h
@@ -103,16 +103,24 @@
 /** A supervisor whose worker has announced itself and accepted the first fence. */
 struct ReconciledSupervisor
 {
-    WorkerSupervisor supervisor{WorkerTiming{}, FirstFence};
+    EntryLiveness liveness{Milliseconds(700)};
+    WorkerSupervisor supervisor{WorkerTiming{}, FirstFence, liveness};
 
     ReconciledSupervisor()
     {
+        proveEntryAlive(Start);
         supervisor.handleAnnouncement(announcement(1), Start);
         const OutputByKind output(supervisor.takeOutput());
         supervisor.handleReply(listed(output.polls.at(0).callId, {}), Start);
         supervisor.takeOutput();
     }
 
+    /** Records a proof that the entry of runRequest() is alive. */
+    void proveEntryAlive(MonotonicTime at)
+    {
+        liveness.recordEcho("entry-1", 1, at);
+    }
+
     /** Starts and confirms a run. Returns a poll that was sent after the confirmation. */
     PollRuns startAndConfirm(const RunRequest &request, MonotonicTime now)
     {
