Show that an agent that wakes repeats starts without a send deadline

The test permutes the events of a wake: the missing answers to a start and a poll, a tick, a closed connection, a message of a new session.

--- a/tests/request/work_agent_test.cpp
+++ b/tests/request/work_agent_test.cpp
@@ -1,9 +1,13 @@
 #include "request/work_agent.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <functional>
 #include <map>
+#include <ranges>
 #include <set>
 
 using namespace marjoramferry;
@@ -27,6 +31,13 @@
     return state;
 }
 
+WorkerReply unanswered(int64_t callId)
+{
+    WorkerReply reply;
+    reply.callId = callId;
+    return reply;
+}
+
 /** An agent with a worker, connected to nine entries. */
 struct ConnectedAgent
 {
@@ -41,6 +52,7 @@
     std::optional<wire::OperatorState> sentState; ///< Sent with the next messages of the entries.
     Milliseconds orderAge{0}; ///< Time that the messages of the entries were under way.
     int64_t lastOrderNumber = 0;
+    int64_t session = 1; ///< Of the next messages of the entries.
 
     explicit ConnectedAgent(bool offers = false)
         : agent(options(offers))
@@ -89,7 +101,7 @@
         wire::EntryBatch batch;
         batch.entry = absl::StrCat("entry-", entry);
         batch.incarnation = absl::StrCat("entry-", entry, "-1");
-        batch.session = 1;
+        batch.session = session;
         batch.agentIncarnation = "agent-1";
         batch.echoedUs = std::chrono::duration_cast<Microseconds>((now - orderAge).time_since_epoch()).count();
         batch.firstSequence = lastOrderNumber + 1;
@@ -107,8 +119,8 @@
         agent.handle(PeerMessage{addressOf(entry), batch}, now);
     }
 
-    /** Delivers an entry's order of a run, which the worker accepts. */
-    RunKey placeOrder(int entry, int cpuMillis, MonotonicTime now)
+    /** Delivers an entry's order of a run, and sends its start. */
+    void orderRun(int entry, int cpuMillis, MonotonicTime now)
     {
         wire::RunInstruction instruction;
         wire::RunOrder order;
@@ -120,6 +132,12 @@
         instruction.__set_order(order);
         deliverBatch(entry, {instruction}, now);
         sentWithOrder = flushMessages(now);
+    }
+
+    /** Delivers an entry's order of a run, which the worker accepts. */
+    RunKey placeOrder(int entry, int cpuMillis, MonotonicTime now)
+    {
+        orderRun(entry, cpuMillis, now);
         WorkerReply accepted;
         accepted.callId = starts.back().callId;
         accepted.outcome = CallOutcome::Accepted;
@@ -356,3 +374,44 @@
     fixture.agent.handle(Tick{}, crashed + Milliseconds(300));
     CHECK(fixture.flushMessages(crashed + Milliseconds(300)).at(3).crashes.size() == 1);
 }
+
+TEST_CASE("An agent that wakes sends no start for an entry that has given it up whatever the order of events")
+{
+    // Guards against two runs of one task: the entry ends the session of a silent agent and orders the task elsewhere.
+    constexpr Milliseconds EntryTimeout{700};
+    const Milliseconds standstill = GENERATE(Milliseconds(701), Milliseconds(1900));
+    const MonotonicTime wake = Start + standstill;
+    const bool flushesEachEvent = GENERATE(false, true);
+    std::vector<int> order{0, 1, 2, 3, 4};
+    do {
+        ConnectedAgent connected;
+        connected.orderRun(0, 6000, Start);
+        const int64_t startCall = connected.starts.back().callId;
+        const int64_t pollCall = connected.polls.back().callId;
+        connected.orderAge = standstill; // Messages that came during the standstill echo nothing newer.
+        const std::vector<std::function<void()>> events{
+            [&] { connected.agent.handle(unanswered(startCall), wake); },
+            [&] { connected.agent.handle(unanswered(pollCall), wake); },
+            [&] { connected.agent.handle(Tick{}, wake); },
+            [&] { connected.agent.handle(PeerClosed{addressOf(0)}, wake); },
+            [&] {
+                connected.session = 2;
+                connected.lastOrderNumber = 0;
+                connected.deliverBatch(0, {}, wake);
+            },
+        };
+        const size_t startsBefore = connected.starts.size();
+        for (const int event : order) {
+            events.at(static_cast<size_t>(event))();
+            if (flushesEachEvent) {
+                connected.flushMessages(wake);
+            }
+        }
+        connected.flushMessages(wake);
+        for (const StartRun &start : connected.starts | std::views::drop(startsBefore)) {
+            INFO("start " << start.callId << ", order of events " << absl::StrJoin(order, " "));
+            CHECK(start.notAfter <= Start + EntryTimeout);
+        }
+        CHECK(connected.polls.back().fence > connected.polls.front().fence); // The first start is settled.
+    } while (std::ranges::next_permutation(order).found);
+}
