Send no start for an entry that is no longer known to be alive

Cause: the permission to start a run, the proof of life of the entry that ordered it, was checked at the tick only, and the second send of an unanswered start had no send deadline. At a wake the missing answer to the first send is handled before the tick, so the start was repeated although the entry had ended the session 50 ms and more before and the task ran elsewhere. The agent looks which entries have expired before each event, not only at a tick. A repeat that may not be sent settles the first send through a higher fence, as before. The check that the second send has no deadline for an hour asserted the fault; it now asserts the exact end of the proof of life, which is after the start deadline.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -49,6 +49,8 @@
 
 void WorkAgent::handle(const WorkAgentEvent &event, MonotonicTime now)
 {
+    // Before each event, since an agent that wakes may handle any other one before the next tick.
+    expireSilentEntries(now);
     std::visit(Overloaded{
                    [&](const Tick &) { onTick(now); },
                    [&](const PeerMessage &each) { onEntryBatch(each, now); },
@@ -252,7 +254,6 @@
     supervisor_.tick(now);
     for (auto &[address, entry] : entries_) {
         maintainConnection(address, entry, now);
-        checkEntryLiveness(entry, now);
     }
     askForOperatorState(now);
     const bool hasNoConnection
@@ -291,6 +292,13 @@
     send(address, entry, Report{supervisor_.state(), supervisor_.freeCapacity()}, now);
 }
 
+void WorkAgent::expireSilentEntries(MonotonicTime now)
+{
+    for (auto &[address, entry] : entries_) {
+        checkEntryLiveness(entry, now);
+    }
+}
+
 void WorkAgent::checkEntryLiveness(Entry &entry, MonotonicTime now)
 {
     if (entry.isExpired || entryLiveness_.isAlive(entry.incarnation, now)) {
--- a/request/worker_protocol.h
+++ b/request/worker_protocol.h
@@ -86,7 +86,7 @@
     std::string spec;
     int64_t leaseEndMs = 0; ///< On the worker's clock. All its runs end then, unless the lease is extended.
     int64_t fence = 0;
-    MonotonicTime notAfter; ///< The call is not sent after this.
+    MonotonicTime notAfter; ///< The call is not sent after this: the order that it carries out no longer counts.
     Milliseconds timeout{0};
 };
 
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -173,6 +173,7 @@
 {
     const RunRequest &request = run.request;
     const MonotonicTime lastEcho = entryLiveness_.lastEcho(request.orderId.entryIncarnation);
+    const MonotonicTime validUntil = entryLiveness_.validUntil(request.orderId);
     log(LogEvent::Level::Info,
         "run_start_sent",
         {{"request", request.requestId},
@@ -192,7 +193,7 @@
                                         request.spec,
                                         lease_.extend(now),
                                         fence_,
-                                        run.startsSent > 1 ? MonotonicTime::max() : request.startDeadline,
+                                        run.startsSent > 1 ? validUntil : std::min(validUntil, request.startDeadline),
                                         timing_.startTimeout * run.startsSent});
 }
 
@@ -260,7 +261,8 @@
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
-        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts) {
+        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts
+            && now < entryLiveness_.validUntil(run.request.orderId)) {
             // The worker treats a repeated StartRun as the same run.
             ++run.startsSent;
             sendStart(run, now);
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -171,8 +171,10 @@
     supervisor.handleReply(unanswered(first.starts.at(0).callId), Start + Milliseconds(20));
     const OutputByKind resent(supervisor.takeOutput());
     REQUIRE(resent.starts.size() == 1);
-    // The first StartRun may have taken effect, so the second must be sent even after the start deadline.
-    CHECK(resent.starts[0].notAfter > Start + std::chrono::hours(1));
+    // The first StartRun may have taken effect, so the second may be sent after the start deadline, but only as long as
+    // the entry is known to be alive: it gives the task to another agent later.
+    CHECK(resent.starts[0].notAfter > first.starts[0].notAfter);
+    CHECK(resent.starts[0].notAfter == fixture.liveness.validUntil(runRequest("job", 1).orderId));
     WorkerReply second
         = rejected(resent.starts[0].callId,
                    GENERATE(Rejection::InsufficientCapacity, Rejection::LeaseExpired, Rejection::Unhealthy));
