End the lease of abandoned runs before their job is sent again

Cause: the time-outs were constants that did not know of the delay after which a job arrives at another entry, 1,300 ms. An agent stops the runs of a dead entry after 700 ms and a tick; until then it renews their lease by 600 ms on a clock that may be 2% slow. If it freezes at that moment, they last up to 1,389 ms (computed). If the worker doesn't carry the stop out, the agent renewed their lease without end. Change: no call requests a lease that ends, on a slow clock, later than 1,225 ms after the last proof that the entry of any run on the worker is alive, and no run starts while the lease already ends later than that. A run that is being stopped keeps its limit. The limit follows from the new setting resubmission_delay, which the template takes from the deployment; entry_lapse and lease follow from it too, and values that are too long are rejected. The poll after a lapse is sent at once, since a pending one carries the fence of before. The test of the first fence now says that the entry of its run is alive, as runs of unknown entries no longer start.

--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -149,9 +149,54 @@
     WorkerLimits limits;
     limits.maxLease = ini.duration("platform", "max_lease", limits.maxLease);
     limits.maxStopTime = ini.duration("platform", "max_stop_time", limits.maxStopTime);
+    limits.resubmissionDelay = ini.duration("platform", "resubmission_delay", limits.resubmissionDelay);
     return limits;
 }
 
+/** Reads a duration that is by default @p usual, or @p max if that is shorter; @p reason says why it can't be longer.
+ */
+Milliseconds readBoundedDuration(
+    IniFile &ini, const std::string &key, Milliseconds usual, Milliseconds max, const std::string &reason)
+{
+    constexpr const char *Section = "work_agent";
+    const Milliseconds duration = ini.duration(Section, key, std::min(usual, max));
+    if (duration > max) {
+        throw Error(ErrorKind::Settings,
+                    absl::StrCat("[", Section, "] ", key),
+                    reason,
+                    absl::StrCat("use at most ", max.count(), "ms"));
+    }
+    return duration;
+}
+
+/** Reads the times after which no run of a silent entry is left, which follow from the limits of the deployment. */
+void readRunTimeouts(IniFile &ini, WorkAgentOptions &options)
+{
+    const WorkerLimits limits = readWorkerLimits(ini);
+    // A proof is echoed with the next message of the entry, and that message is answered with the agent's next one.
+    const Milliseconds usualProofAge = 2 * options.heartbeatInterval;
+    const Milliseconds maxLease = maxLeaseFor(limits, usualProofAge);
+    const Milliseconds maxEntryTimeout = maxEntryTimeoutFor(limits);
+    if (maxLease <= options.worker.maxPollWait || maxEntryTimeout <= usualProofAge) {
+        throw Error(ErrorKind::Settings,
+                    "[platform] resubmission_delay",
+                    "is too short for the intervals of messages and lease renewals",
+                    "lower [work_agent] beat and watch, or use the deployment's value");
+    }
+    options.worker.leaseLimit = leaseLimitFor(limits);
+    options.entryTimeout = readBoundedDuration(ini,
+                                               "entry_lapse",
+                                               options.entryTimeout,
+                                               maxEntryTimeout,
+                                               "leaves runs until [platform] resubmission_delay has passed");
+    options.worker.leaseDuration
+        = readBoundedDuration(ini,
+                              "lease",
+                              options.worker.leaseDuration,
+                              maxLease,
+                              "is longer than [platform] max_lease or resubmission_delay allow");
+}
+
 /** Section of the optional scheduling features; all are off by default. */
 constexpr const char *SchedulingSection = "scheduling";
 
@@ -212,16 +257,8 @@
     options.seedAddresses = readSeeds(ini, Section);
     options.shutdownTimeout = ini.duration(Section, "grace", readShutdownTimeout(ini, AgentShutdownMargin));
     options.heartbeatInterval = ini.duration(Section, "beat", options.heartbeatInterval);
-    options.entryTimeout = ini.duration(Section, "entry_lapse", options.entryTimeout);
-    const Milliseconds maxLease = readWorkerLimits(ini).maxLease;
-    options.worker.leaseDuration = ini.duration(Section, "lease", std::min(options.worker.leaseDuration, maxLease));
-    if (options.worker.leaseDuration > maxLease) {
-        throw Error(ErrorKind::Settings,
-                    "[work_agent] lease",
-                    "is longer than [platform] max_lease",
-                    absl::StrCat("use at most ", maxLease.count(), "ms"));
-    }
     options.worker.maxPollWait = ini.duration(Section, "watch", options.worker.maxPollWait);
+    readRunTimeouts(ini, options);
     options.offers = ini.boolean(SchedulingSection, "offers", false);
     settings.store.address = ini.address("platform", "store");
     settings.store.timeout = ini.duration("platform", "store_timeout", Milliseconds(400));
--- a/request/entry_liveness.cpp
+++ b/request/entry_liveness.cpp
@@ -22,6 +22,13 @@
     return found == proofs_.end() ? MonotonicTime() : found->second.echoedAt;
 }
 
+MonotonicTime EntryLiveness::lastEcho(const RunOrderId &orderId) const
+{
+    const auto found = proofs_.find(orderId.entryIncarnation);
+    const bool isKnown = found != proofs_.end() && found->second.session == orderId.session;
+    return isKnown ? found->second.echoedAt : MonotonicTime();
+}
+
 bool EntryLiveness::isAlive(const std::string &entryIncarnation, MonotonicTime now) const
 {
     const auto found = proofs_.find(entryIncarnation);
@@ -30,9 +37,8 @@
 
 MonotonicTime EntryLiveness::validUntil(const RunOrderId &orderId) const
 {
-    const auto found = proofs_.find(orderId.entryIncarnation);
-    const bool isKnown = found != proofs_.end() && found->second.session == orderId.session;
-    return isKnown ? found->second.echoedAt + timeout_ : MonotonicTime();
+    const MonotonicTime echoedAt = lastEcho(orderId);
+    return echoedAt == MonotonicTime() ? MonotonicTime() : echoedAt + timeout_;
 }
 
 } // namespace marjoramferry
--- a/request/entry_liveness.h
+++ b/request/entry_liveness.h
@@ -26,6 +26,8 @@
 
     /** The send time of the last echoed message; the minimum if there is none. */
     MonotonicTime lastEcho(const std::string &entryIncarnation) const;
+    /** The same for the entry of an order; the minimum for an order of an earlier session. */
+    MonotonicTime lastEcho(const RunOrderId &orderId) const;
     bool isAlive(const std::string &entryIncarnation, MonotonicTime now) const;
 
     /** Until when the order may be carried out; in the past for an order of an earlier session. */
--- a/request/worker_lease.h
+++ b/request/worker_lease.h
@@ -12,6 +12,8 @@
 {
     Milliseconds maxLease{1000}; ///< Workers shorten longer leases to this.
     Milliseconds maxStopTime{50}; ///< Within this time a worker stops a run.
+    /** A caller without an answer sends its job again after this time, to any entry. */
+    Milliseconds resubmissionDelay{1300};
 
     bool operator==(const WorkerLimits &) const = default;
 };
@@ -23,6 +25,18 @@
  */
 Milliseconds sessionTimeoutFor(const WorkerLimits &limits, Milliseconds entryTimeout);
 
+/**
+ * Time after the last proof that an entry is alive at which the lease of its runs must have ended. The entry may have
+ * lost its callers right after that proof, and no run may be left when they send their jobs to another entry.
+ */
+Milliseconds leaseLimitFor(const WorkerLimits &limits);
+
+/** The longest time-out after which an entry's runs are stopped, so that they end before their lease is cut short. */
+Milliseconds maxEntryTimeoutFor(const WorkerLimits &limits);
+
+/** The longest lease that can be renewed in full while the last proof that an entry is alive is @p proofAge old. */
+Milliseconds maxLeaseFor(const WorkerLimits &limits, Milliseconds proofAge);
+
 /**
  * The agent's view of the lease of a worker's runs: computes the lease end on the worker's clock, and
  * decides when the lease must have expired although the worker does not answer.
@@ -54,10 +68,17 @@
     }
 
     /**
-     * Returns the lease end to request in a call sent at @p now. The end does not advance while calls are
-     * unanswered: the worker may execute any of them late, which must not extend the lease further.
+     * Returns the lease end to request in a call sent at @p now. A lease extended by it ends by @p latest, however slow
+     * the worker's clock is. The end does not advance while calls are unanswered: the worker may execute any of them
+     * late, which must not extend the lease further.
      */
-    int64_t extend(MonotonicTime now);
+    int64_t extend(MonotonicTime now, MonotonicTime latest);
+
+    /** When the lease ends at the latest, if the worker has received all calls. */
+    MonotonicTime latestEnd() const
+    {
+        return latestEnd_;
+    }
 
     void recordReply()
     {
@@ -82,7 +103,7 @@
     const Milliseconds length_;
     std::optional<int64_t> clockMs_; ///< Worker's clock at clockObservedAt_.
     MonotonicTime clockObservedAt_;
-    MonotonicTime extendedAt_;
+    MonotonicTime latestEnd_;
     int64_t endMs_ = 0;
     bool hasUnansweredCalls_ = false;
 };
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -142,8 +142,9 @@
     Demand freeCapacity = worker_->capacity - claimedDemand();
     std::vector<RunRequest> stillQueued;
     for (RunRequest &request : std::exchange(queue_, {})) {
-        // The worker can't tell two runs of the same task apart.
-        if (!request.demand.fitsIn(freeCapacity) || hasRunOfTask(request.key)) {
+        // The worker can't tell two runs of the same task apart. All its runs share the lease that it already has.
+        if (!request.demand.fitsIn(freeCapacity) || hasRunOfTask(request.key)
+            || latestLeaseEndFor(request.orderId) < std::max(now, lease_.latestEnd())) {
             stillQueued.push_back(std::move(request));
             continue;
         }
@@ -160,12 +161,35 @@
     return from != runs_.end() && from->first.isSameTask(key);
 }
 
+MonotonicTime WorkerSupervisor::latestLeaseEndFor(const RunOrderId &orderId) const
+{
+    return entryLiveness_.lastEcho(orderId) + timing_.leaseLimit;
+}
+
+/** The worker has one lease for all its runs, so the run that has to end first limits it. */
+MonotonicTime WorkerSupervisor::latestLeaseEnd() const
+{
+    const auto first = std::ranges::min_element(runs_, {}, [](const auto &each) { return each.second.latestLeaseEnd; });
+    return first == runs_.end() ? MonotonicTime::max() : first->second.latestLeaseEnd;
+}
+
+/** A run that is being stopped keeps its limit: its entry may be alive, but has withdrawn it and told its callers. */
+void WorkerSupervisor::updateLatestLeaseEnds()
+{
+    for (auto &[key, run] : runs_) {
+        if (run.phase != Phase::Stopping) {
+            run.latestLeaseEnd = std::max(run.latestLeaseEnd, latestLeaseEndFor(run.request.orderId));
+        }
+    }
+}
+
 void WorkerSupervisor::startRun(RunRequest request, MonotonicTime now)
 {
     const RunKey key = request.key;
     Run run;
     run.request = std::move(request);
     run.firstSentAt = now;
+    run.latestLeaseEnd = latestLeaseEndFor(run.request.orderId);
     sendStart(runs_[key] = std::move(run), now);
 }
 
@@ -191,7 +215,7 @@
                                         target(),
                                         request.key,
                                         request.spec,
-                                        lease_.extend(now),
+                                        lease_.extend(now, latestLeaseEnd()),
                                         fence_,
                                         run.startsSent > 1 ? validUntil : std::min(validUntil, request.startDeadline),
                                         timing_.startTimeout * run.startsSent});
@@ -199,6 +223,7 @@
 
 void WorkerSupervisor::handleReply(const WorkerReply &reply, MonotonicTime now)
 {
+    updateLatestLeaseEnds();
     const int64_t startTimeMs = reply.listing ? reply.listing->startTimeMs : 0;
     const bool isOtherProcess = worker_ && startTimeMs != 0 && worker_->identity.startTimeMs != 0
         && startTimeMs != worker_->identity.startTimeMs;
@@ -511,7 +536,7 @@
     call.callId = callId;
     call.target = target();
     if (extendsLease && lease_.isClockKnown()) {
-        call.leaseEndMs = lease_.extend(now);
+        call.leaseEndMs = lease_.extend(now, latestLeaseEnd());
     }
     call.fence = fence_;
     call.acknowledgedEnd = lastEndSeen_;
@@ -524,6 +549,7 @@
 
 void WorkerSupervisor::tick(MonotonicTime now)
 {
+    updateLatestLeaseEnds();
     rejectOverdueRuns(now);
     if (!worker_) {
         return;
@@ -546,6 +572,7 @@
         raiseFence(fence_ + 1);
         requiredFence_ = fence_;
         isReconciled_ = false;
+        sendPoll(Milliseconds(0), false, now); // A pending poll carries the fence of before.
     }
     if (now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout) {
         log(LogEvent::Level::Warning, "worker_lost", {{"worker", worker_->identity.id}});
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -42,6 +42,8 @@
 struct WorkerTiming
 {
     Milliseconds leaseDuration{600}; ///< The worker ends its runs this long after the agent's last renewal.
+    /** From the last proof that an entry is alive to the end of the lease of its runs, at most. */
+    Milliseconds leaseLimit = leaseLimitFor(WorkerLimits());
     Milliseconds maxPollWait{200}; ///< How long a poll waits for an end; also the interval of lease renewals.
     Milliseconds callTimeout{150}; ///< Timeout of a call that the worker answers without waiting.
     Milliseconds startTimeout{20}; ///< Timeout of the first StartRun, which can be resent unchanged.
@@ -129,6 +131,7 @@
         MonotonicTime confirmedAt; ///< When the worker confirmed the run; polls sent later must list it.
         bool isConfirmed = false;
         MonotonicTime stopSentAt;
+        MonotonicTime latestLeaseEnd; ///< No lease may be extended beyond this while the run may be on the worker.
         int startsSent = 1; ///< StartRun calls sent for this attempt.
         int retries = 0; ///< Restarts with a higher attempt number or fence.
     };
@@ -166,6 +169,9 @@
     void sendStart(Run &run, MonotonicTime now);
     bool isPollNeeded(MonotonicTime now) const;
     bool hasRunOfTask(const RunKey &key) const;
+    MonotonicTime latestLeaseEndFor(const RunOrderId &orderId) const;
+    MonotonicTime latestLeaseEnd() const;
+    void updateLatestLeaseEnds();
     void onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now);
     void markUnresolved(Run &run, MonotonicTime now);
     void onStartRejected(Run &run, const WorkerReply &reply, MonotonicTime now);
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -108,6 +108,26 @@
     CHECK(agent(limits("20s", "1s", "50ms")).options.shutdownTimeout == Milliseconds(19'200));
 }
 
+// Guards against time-outs that are constants, unrelated to the delay after which a job is sent to another entry.
+TEST_CASE("The time that an abandoned run may be left follows from the delay after which its job is sent again")
+{
+    const auto agent
+        = [](const std::string &text) { return settingsOf<WorkAgentSettings>(ValidWorkAgent + text).options; };
+    constexpr Milliseconds StopTime{50};
+    for (const int delayMs : {700, 1000, 1300, 5000}) {
+        const WorkAgentOptions options = agent("resubmission_delay = " + std::to_string(delayMs) + "ms\n");
+        const Milliseconds delay(delayMs);
+        CHECK(options.worker.leaseLimit + StopTime <= delay);
+        CHECK(options.entryTimeout + StopTime < options.worker.leaseLimit);
+        CHECK(options.worker.leaseDuration < options.worker.leaseLimit);
+        CHECK(options.worker.leaseDuration > options.worker.maxPollWait);
+    }
+    for (const char *text : {"", "resubmission_delay = 1300ms\n"}) {
+        CHECK(agent(text).entryTimeout == Milliseconds(700));
+        CHECK(agent(text).worker.leaseDuration == Milliseconds(600));
+    }
+}
+
 TEST_CASE("Settings that contradict the limits of the deployment are rejected with their key and remedy")
 {
     using Catch::Matchers::Contains;
@@ -115,6 +135,12 @@
     CHECK_THAT(settingsError(workEntry), Contains("[work_entry] give_up") && Contains("use at least"));
     const std::string workAgent = ValidWorkAgent + "max_lease = 500ms\n[work_agent]\nlease = 600ms\n";
     CHECK_THAT(settingsError(workAgent), Contains("[work_agent] lease") && Contains("use at most 500ms"));
+    CHECK_THAT(settingsError(ValidWorkAgent + "resubmission_delay = 1300ms\n[work_agent]\nentry_lapse = 1200ms\n"),
+               Contains("[work_agent] entry_lapse") && Contains("use at most"));
+    CHECK_THAT(settingsError(ValidWorkAgent + "resubmission_delay = 1000ms\n[work_agent]\nlease = 900ms\n"),
+               Contains("[work_agent] lease") && Contains("use at most"));
+    CHECK_THAT(settingsError(ValidWorkAgent + "resubmission_delay = 300ms\n"),
+               Contains("[platform] resubmission_delay") && Contains("lower [work_agent] beat"));
     CHECK_THAT(settingsError(ValidWorkAgent + "process_grace = 1s\n"), Contains("[platform] process_grace"));
     CHECK_THAT(settingsError(ValidWorkEntry + "remote_slowdown = 0.5\n"), Contains("[platform] remote_slowdown"));
     CHECK_THAT(settingsError(ValidWorkEntry + "remote_slowdown = nan\n"), Contains("[platform] remote_slowdown"));
--- a/tests/promises/shared_workers_test.cpp
+++ b/tests/promises/shared_workers_test.cpp
@@ -154,6 +154,44 @@
     CHECK(runs == size_t{2} * Jobs);
 }
 
+// Guards against time bounds that are each sound but add up to more than the delay after which a job is sent again:
+// the entry's time-out, then the lease of an agent that freezes right before it stops the entry's runs.
+TEST_CASE("An entry dies and an agent freezes up to its time-out later: the job sent again runs alone")
+{
+    constexpr Milliseconds Phases{200}; // The longest interval between two renewals of a lease.
+    constexpr Milliseconds EarliestFreeze{690};
+    constexpr Milliseconds LatestFreeze{715};
+    constexpr int Agents = 5;
+    int freezesWithRuns = 0;
+    for (Milliseconds phase{0}; phase < Phases; phase += Milliseconds(11)) {
+        for (Milliseconds freeze = EarliestFreeze; freeze <= LatestFreeze; freeze += Milliseconds(5)) {
+            WorkSimulation simulation(SimulationOptions{});
+            simulation.runFor(Milliseconds(500));
+            simulation.submit({"job", "survey", 2 * Agents, 3000, 3000, 6200}, 0, Milliseconds(9000));
+            // Short jobs, so that the entries prove often that they are alive, and agents renew their leases often.
+            for (int ms = 0; ms < 300 + (phase + freeze).count(); ms += 5) {
+                simulation.schedule(Milliseconds(ms), [&simulation, ms] {
+                    const SimulatedJob job{absl::StrCat("short-", ms), "quote", 2, 20, 20, 6200};
+                    simulation.submit(job, ms / 5 % 2, Milliseconds(9000));
+                });
+            }
+            simulation.runFor(Milliseconds(300) + phase);
+            simulation.killEntry(0, Milliseconds(9000));
+            simulation.runFor(freeze);
+            for (const int agent : {0, 1}) { // The clock of the second one's worker is 2% slow.
+                const auto &history = simulation.worker(agent).history();
+                const auto isActive = [](const RunInterval &run) { return run.to == MonotonicTime::max(); };
+                freezesWithRuns += std::ranges::any_of(history, isActive) ? 1 : 0;
+                simulation.freezeAgent(agent, Milliseconds(3000));
+            }
+            simulation.runFor(Milliseconds(9000));
+            INFO("killed " << 800 + phase.count() << " ms after the start, frozen " << freeze.count() << " ms later");
+            CHECK(absl::StrJoin(simulation.violations(), "\n").empty());
+        }
+    }
+    CHECK(freezesWithRuns > 0);
+}
+
 TEST_CASE("Burst of 1.45 times the capacity: 75% of the most urgent queue and 50% of all jobs complete on time")
 {
     SimulationOptions options;
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -6,6 +6,7 @@
 TEST_CASE("No run is started until the worker has accepted the fence and has no unknown runs")
 {
     EntryLiveness liveness(Milliseconds(700));
+    liveness.recordEcho("entry-1", 1, Start);
     WorkerSupervisor supervisor(WorkerTiming{}, FirstFence, liveness);
     supervisor.handleAnnouncement(announcement(1), Start);
     const OutputByKind first(supervisor.takeOutput());
