Soak: size of the deployment, groups of faults, clients that submit again after a reset or their deadline

Change: options for the size, failure domains, busy processes, groups of processes paused or killed together, late starts all the while, and clients that are reset or submit again after their deadline. Their random numbers are drawn apart, so that a seed without the options means the same run. The calls of all clients are kept with the logs of a failed run.

--- a/benchmarks/work_path.py
+++ b/benchmarks/work_path.py
@@ -51,8 +51,8 @@
 
 async def run(options, work_dir):
     rng = random.Random(options.seed)
-    soak.ENTRIES, soak.WORKER_CPU_MILLIS = options.entries, options.cpu_millis
-    deployment = soak.Deployment(work_dir, options.base_port, rng)
+    settings = soak.Settings(entries=options.entries, workers=options.workers, cpu_millis=options.cpu_millis)
+    deployment = soak.Deployment(work_dir, options.base_port, rng, settings)
     deployment.link_port_kind = "link"  # Connects directly, because the speed of a proxy would limit the results.
     try:
         deployment.start_by_name("store")
--- a/misc/soak.py
+++ b/misc/soak.py
@@ -4,13 +4,19 @@
     misc/soak.py --seed 7                one run
     misc/soak.py --seeds 100-150         one run per seed
     misc/soak.py --minutes 5             runs with new seeds for 5 minutes
+    misc/soak.py --seed 7 --entries 30 --workers 110 --domains 3 --busy 8 --group-faults
 
 Entries, agents and stand-ins for the platform's store and workers run as separate processes on
 loopback. Agents connect to the entries through proxies that delay, block or reset connections.
 Processes are killed, paused, terminated and restarted; the store is slow, unavailable, loses data or
 loses responses; workers restart, stall, fail and execute orders late. Another writer leaves odd entries: nested too
-deeply, with numbers or ports out of range, or for workers that aren't there. No program may crash. Callers resubmit interrupted
-jobs as the platform's clients do. Only processes started by the run are ended, by process id.
+deeply, with numbers or ports out of range, or for workers that aren't there. No program may crash. Callers resubmit
+interrupted jobs as the platform's clients do. Only processes started by the run are ended, by process id.
+
+Options add faults of which a run at the default size has none or few: several processes paused or killed together
+(--group-faults), starts that stay unanswered and are executed late all the while (--late-every), clients whose
+connection is reset during a call (--reset-share) or that submit again after their deadline (--resubmit-expired), and a
+shortage of processor time (--busy). Their random numbers are drawn apart: a seed means the same run without them.
 """
 import argparse
 import asyncio
@@ -19,18 +25,32 @@
 import os
 import random
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import tempfile
 import time
+from dataclasses import dataclass
+from datetime import datetime, timezone
 
 ENTRIES, WORKERS = 3, 5
+MAX_PROXIES = 6  # Agents connect directly to further entries: one process forwards the data of all proxies.
+MAX_SEEDS = 6
+ENTRY_PORTS = ("http", "ready", "metrics", "link", "proxy")
+WORKER_PORTS = ("agent_http", "agent_metrics", "worker")
+DOMAINS = ("north", "east", "south", "west")
 WORKER_CPU_MILLIS = 32000
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
 WORKER_DOWNTIME_S = 2
+STARTUP_S_PER_WORKER = 0.05
+LATE_MS = (2500, 100, 300, 800, 1500)  # Delays of late starts, by worker.
 RESUBMIT_DELAY_S = 1.3  # Clients resubmit a job this long after its connection broke.
 BUILD = os.environ.get("BUILD", "build/release")
+ATTEMPT_DEADLINE_S = 1.5  # Of each attempt of a client that submits again after its deadline.
+LONG_TASKS, LONG_RUN_MS, LONG_DEADLINE_S = 2, 1600, 4  # A run of this length outlasts the delay of a resubmission.
+MAX_ATTEMPTS = 4
 CRASH_SIGNALS = (signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGILL, signal.SIGFPE)
 
 
@@ -77,17 +97,41 @@
 CONNECTIONS = {}
 
 
+@dataclass(frozen=True)
+class Settings:
+    """Size of a deployment, and the faults that options add."""
+    entries: int = ENTRIES
+    workers: int = WORKERS
+    cpu_millis: int = WORKER_CPU_MILLIS  # Capacity of a worker.
+    domains: int = 1
+    load: float = 1.0  # Factor of the rate of jobs.
+    busy: int = 0  # Processes that only use processor time.
+    late_every: int = 0  # One in so many starts stays unanswered and is executed late; 0 for none.
+    reset_share: float = 0.0
+    long_share: float = 0.0
+    resubmit_expired: bool = False
+    group_faults: bool = False
+
+
 class Deployment:
-    def __init__(self, work, base, rng):
-        self.work, self.base, self.rng = work, base, rng
+    def __init__(self, work, base, rng, settings=Settings()):
+        self.work, self.base, self.rng, self.settings = work, base, rng, settings
+        self.entry_slots, self.worker_slots = max(10, settings.entries), max(20, settings.workers)
         self.processes = {}
         self.crashed = set()
         self.store = base
         self.link_port_kind = "proxy"  # Agents connect to the entries through the proxies.
 
     def port(self, kind, index):
-        return self.base + {"http": 10, "ready": 20, "metrics": 30, "link": 40, "proxy": 50, "agent_http": 100,
-                            "agent_metrics": 120, "worker": 140}[kind] + index
+        if kind in ENTRY_PORTS:
+            return self.base + self.entry_slots * (1 + ENTRY_PORTS.index(kind)) + index
+        return self.base + self.entry_slots * 10 + self.worker_slots * WORKER_PORTS.index(kind) + index
+
+    def link_address(self, index):
+        return self.address(self.link_port_kind if index < MAX_PROXIES else "link", index)
+
+    def domain(self, index):
+        return DOMAINS[index % self.settings.domains]
 
     def address(self, kind, index):
         return f"127.0.0.1:{self.port(kind, index)}"
@@ -105,17 +149,19 @@
     def start_by_name(self, name):
         # A name is a kind of five letters, followed by an index except for the store.
         index = int(name[5:]) if name[5:].isdigit() else 0
-        seeds = ",".join(self.address(self.link_port_kind, i) for i in range(ENTRIES))
+        seeds = ",".join(self.link_address(i) for i in range(min(self.settings.entries, MAX_SEEDS)))
         if name == "store":
             self.start(name, f"{BUILD}/standins/marjoramferry-standin", "store", "--listen", f"127.0.0.1:{self.store}")
             return
         if name.startswith("workr"):
             self.start(name, f"{BUILD}/standins/marjoramferry-standin", "worker", "--name", f"w-{index}", "--listen",
                        self.address("worker", index), "--agent", self.address("agent_http", index), "--cpu-millis",
-                       str(WORKER_CPU_MILLIS), "--start-log", f"{self.work}/runs{index}.log")
+                       str(self.settings.cpu_millis), "--start-log", f"{self.work}/runs{index}.log", "--domain",
+                       self.domain(index), "--late-every", str(self.settings.late_every), "--late-ms",
+                       str(LATE_MS[index % len(LATE_MS)]))
             return
         ini = f"{self.work}/{name}.ini"
-        common = f"name = {name}\ndomain = north\nlog_level = info\n"
+        common = f"name = {name}\ndomain = {self.domain(index)}\nlog_level = info\n"
         tail = f"seeds = {seeds}\n[platform]\nstore = 127.0.0.1:{self.store}\n"
         with open(ini, "w") as out:
             if name.startswith("entry"):
@@ -123,7 +169,7 @@
                           f"readiness_listen = {self.address('ready', index)}\n"
                           f"metrics_listen = {self.address('metrics', index)}\n"
                           f"link_listen = {self.address('link', index)}\n"
-                          f"link_address = {self.address(self.link_port_kind, index)}\n" + tail)
+                          f"link_address = {self.link_address(index)}\n" + tail)
             else:
                 out.write(f"[process]\nrole = work-agent\n{common}[work_agent]\nhttp_listen = {self.address('agent_http', index)}\n"
                           f"metrics_listen = {self.address('agent_metrics', index)}\n" + tail)
@@ -141,6 +187,17 @@
         if self.processes[name] is process:
             self.start_by_name(name)
 
+    async def pause(self, name, duration):
+        self.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(duration)
+        self.signal(name, signal.SIGCONT)
+
+    async def restart(self, name, signal_number, duration):
+        process = self.processes[name]
+        self.signal(name, signal_number)
+        await asyncio.sleep(duration)
+        await self.restart_after_exit(name, process)
+
     async def restart_crashed(self, name):
         """Restarts a worker some time after each of its ends."""
         while True:
@@ -149,6 +206,15 @@
                 self.start_by_name(name)
             await asyncio.sleep(0.02)
 
+    def start_busy_processes(self):
+        for i in range(self.settings.busy):
+            self.start(f"busyp{i}", sys.executable, "-c", "while True: pass")
+
+    def stop_busy_processes(self):
+        for name, process in self.processes.items():
+            if name.startswith("busyp"):
+                process.kill()
+
     def kill_all(self):
         for name, process in self.processes.items():
             self.record_crash(name)
@@ -159,10 +225,15 @@
             process.wait()
 
 
-async def http(port, method, path, body=None, headers=(), timeout=5.0):
-    """Sends one request; returns (status, body), or None without a complete response."""
+async def http(port, method, path, body=None, headers=(), timeout=5.0, resets=False):
+    """Sends one request; returns (status, body), or None without a complete response.
+
+    A call without a response is reset at its timeout, or else closed."""
     async def send_request():
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         try:
             text = body if isinstance(body, str) else json.dumps(body) if body is not None else ""
             data = text.encode()
@@ -182,31 +253,68 @@
         return None
 
 
+def wall_time():
+    """The time as in the logs of the processes."""
+    return datetime.now(timezone.utc).isoformat(timespec="milliseconds")
+
+
 async def client(deployment, job, results, crashes=False):
     """Submits a job, and again after each broken or interrupted call, until its deadline.
 
     If it crashes, one of its tasks ends each worker process that starts it."""
     rng = deployment.rng
     tasks, run_ms = rng.choice([(8, 60), (4, 600), (2, 200)])
+    attempt_s = ATTEMPT_DEADLINE_S
+    if random.Random(f"length {job}").random() < deployment.settings.long_share:
+        tasks, run_ms, attempt_s = LONG_TASKS, LONG_RUN_MS, LONG_DEADLINE_S
     cpu_millis = 6200
     deadline = time.monotonic() + 3
-    record = {"job": job, "tasks": tasks, "tries": []}
+    record = {"job": job, "tasks": tasks, "tries": [], "calls": []}
     results.append(record)
     if crashes:
         record["crashing_task"] = rng.randrange(tasks)
     crash_suffix = f"/{record['crashing_task']}" if crashes else ""
     body = {"spec": f"{run_ms}/{cpu_millis}{crash_suffix}", "best-effort": True,
             "phases": [{"count": tasks, "cpu": cpu_millis, "mem-mb": 64, "estimate-ms": run_ms}]}
-    entry = rng.randrange(ENTRIES)
+    entry = rng.randrange(deployment.settings.entries)
+    if deployment.settings.resubmit_expired or deployment.settings.reset_share:
+        await submit_persistently(deployment, record, body, entry, attempt_s)
+        return
     while (remaining_s := deadline - time.monotonic()) > 0.05:
         headers = ("Host: desk.example", f"Deadline-Ms: {int(remaining_s * 1000)}", f"Request-Id: {job}")
+        sent_at = wall_time()
         response = await http(deployment.port("http", entry), "POST", f"/orders/{job}", body, headers, remaining_s)
-        record["tries"].append(response[0] if response else None)
-        if response and response[0] not in (502, 504):
-            record["answer"] = response[0], response[1].decode(errors="replace")
+        if record_try(record, entry, sent_at, response):
             return
         await asyncio.sleep(RESUBMIT_DELAY_S)
-        entry = (entry + 1) % ENTRIES
+        entry = (entry + 1) % deployment.settings.entries
+
+
+def record_try(record, entry, sent_at, response):
+    """Returns whether the response is final."""
+    record["tries"].append(response[0] if response else None)
+    record["calls"].append({"entry": entry, "from": sent_at, "to": wall_time()})
+    if response and response[0] not in (502, 504):
+        record["answer"] = response[0], response[1].decode(errors="replace")
+    return "answer" in record
+
+
+async def submit_persistently(deployment, record, body, entry, attempt_s):
+    """Submits a job until it is answered; each attempt has a deadline of its own, and some are reset before."""
+    settings, rng = deployment.settings, random.Random(f"attempts {record['job']}")
+    headers = ("Host: desk.example", f"Deadline-Ms: {int(attempt_s * 1000)}", f"Request-Id: {record['job']}")
+    for _ in range(MAX_ATTEMPTS):
+        resets = rng.random() < settings.reset_share
+        wait_s = rng.uniform(0, attempt_s) if resets else attempt_s
+        port = deployment.port("http", entry)
+        sent_at = wall_time()
+        response = await http(port, "POST", f"/orders/{record['job']}", body, headers, wait_s, resets)
+        if record_try(record, entry, sent_at, response):
+            return
+        if response is None and not resets and not settings.resubmit_expired:
+            return
+        await asyncio.sleep(RESUBMIT_DELAY_S)
+        entry = rng.randrange(settings.entries)
 
 
 async def write_row(deployment, table, key, value):
@@ -224,7 +332,7 @@
             await write_row(deployment, "entries", f"odd {rng.randrange(3)}",
                             rng.choice(["127.0.0.1:99999", "[" * 1000, "18446744073709551616", "127.0.0.1"]))
             continue
-        index = rng.randrange(WORKERS)
+        index = rng.randrange(deployment.settings.workers)
         name = rng.choice([f"w-{index}", "w-other"])
         beat = {"service": rng.choice(["orders", "unknown"]), "addr": f"127.0.0.1:{rng.choice([9, 99999])}",
                 "zone": "north", "state": "ready", "capacity": {"cpu": 32000, "mem-mb": 4096, "gpu": 0}, "labels": [],
@@ -245,19 +353,9 @@
 
 
 async def inject_faults(deployment, seconds):
-    rng = deployment.rng
+    rng, settings = deployment.rng, deployment.settings
     pending, end = [], time.monotonic() + seconds
-
-    async def pause(name, duration):
-        deployment.signal(name, signal.SIGSTOP)
-        await asyncio.sleep(duration)
-        deployment.signal(name, signal.SIGCONT)
-
-    async def restart(name, signal_number, duration):
-        process = deployment.processes[name]
-        deployment.signal(name, signal_number)
-        await asyncio.sleep(duration)
-        await deployment.restart_after_exit(name, process)
+    pause, restart = deployment.pause, deployment.restart
 
     async def inject_store_fault(fault, duration):
         await http(deployment.store, "POST", "/faults", fault)
@@ -283,7 +381,8 @@
                 if kind in (direction, "both"):
                     connection[direction] = time.monotonic() + duration
 
-    random_node = lambda: rng.choice([f"entry{i}" for i in range(ENTRIES)] + [f"agent{i}" for i in range(WORKERS)])
+    nodes = [f"entry{i}" for i in range(settings.entries)] + [f"agent{i}" for i in range(settings.workers)]
+    random_node = lambda: rng.choice(nodes)
     while time.monotonic() < end:
         await asyncio.sleep(rng.uniform(0.1, 1.2))
         duration = rng.uniform(0.1, 3)
@@ -301,17 +400,63 @@
             pending.append(asyncio.create_task(inject_store_fault(fault, duration)))
         else:
             fault = rng.choice([{"restart": True}, {"stuck": True}, {"fail_all": True}, {"late_share": 0.1}])
-            pending.append(asyncio.create_task(inject_worker_fault(rng.randrange(WORKERS), fault, duration)))
+            pending.append(asyncio.create_task(inject_worker_fault(rng.randrange(settings.workers), fault, duration)))
+    await asyncio.gather(*pending)
+
+
+async def inject_group_faults(deployment, rng, seconds):
+    """Pauses several processes together, kills agents in a row, and pauses agents when an entry has just gone."""
+    settings = deployment.settings
+    pending, end = [], time.monotonic() + seconds
+    agents = [f"agent{i}" for i in range(settings.workers)]
+    entries = [f"entry{i}" for i in range(settings.entries)]
+
+    def some(names, share):
+        return rng.sample(names, max(1, int(len(names) * rng.uniform(0, share))))
+
+    async def pause_all(names, duration):
+        await asyncio.gather(*(deployment.pause(name, duration) for name in names))
+
+    async def kill_in_turn(names):
+        restarts = []
+        for name in names:
+            restarts.append(asyncio.create_task(deployment.restart(name, signal.SIGKILL, rng.uniform(0.5, 3))))
+            await asyncio.sleep(rng.uniform(0.3, 3))
+        await asyncio.gather(*restarts)
+
+    async def lose_entries_then_agents():
+        duration = rng.uniform(0.4, 4)
+        if rng.random() < 0.5:
+            lost = pause_all(some(entries, 0.3), duration)
+        else:
+            lost = deployment.restart(rng.choice(entries), signal.SIGKILL, duration)
+        lost = asyncio.create_task(lost)
+        await asyncio.sleep(rng.uniform(0, 0.8))
+        await pause_all(some(agents, 0.4), rng.uniform(0.6, 4))
+        await lost
+
+    while time.monotonic() < end:
+        await asyncio.sleep(rng.uniform(0.3, 1.5))
+        kind = rng.randrange(4)
+        if kind == 0:
+            fault = pause_all(some(agents, 0.3) + some(entries, 0.3), rng.uniform(0.4, 4))
+        elif kind == 1:
+            fault = pause_all(some(agents, 0.5), rng.uniform(0.4, 4))
+        elif kind == 2:
+            fault = kill_in_turn(rng.sample(agents, min(len(agents), rng.randint(2, 5))))
+        else:
+            fault = lose_entries_then_agents()
+        pending.append(asyncio.create_task(fault))
     await asyncio.gather(*pending)
 
 
-def find_violations(work, results):
+def find_violations(work, results, settings):
     """Checks the invariants against what callers and workers observed; returns descriptions."""
     violations, runs = [], {}
-    for index in range(WORKERS):
+    for index in range(settings.workers):
         for line in open(f"{work}/runs{index}.log"):
             row = json.loads(line)
-            if row.get("cpu_peak", 0) > WORKER_CPU_MILLIS:
+            if row.get("cpu_peak", 0) > settings.cpu_millis:
                 violations.append(f"worker {row['worker']} exceeded its capacity: "
                                   f"{row['cpu_peak']} thousandths of a core in use")
             key = (row["worker"], row["born"], row["task"], row["run"])
@@ -342,34 +487,39 @@
     return violations
 
 
-async def run(seed, seconds, base, work):
+async def run(seed, seconds, base, work, settings):
     rng = random.Random(seed)
     CONNECTIONS.clear()
-    deployment = Deployment(work, base, rng)
+    deployment = Deployment(work, base, rng, settings)
     try:
         deployment.start_by_name("store")
-        proxies = [Proxy(deployment.port("proxy", i), deployment.port("link", i)) for i in range(ENTRIES)]
+        proxies = [Proxy(deployment.port("proxy", i), deployment.port("link", i))
+                   for i in range(min(settings.entries, MAX_PROXIES))]
         for proxy in proxies:
             await proxy.start()
         await asyncio.sleep(0.3)
         await publish_configuration(deployment)
-        for i in range(ENTRIES):
+        for i in range(settings.entries):
             deployment.start_by_name(f"entry{i}")
-        for i in range(WORKERS):
+        for i in range(settings.workers):
             deployment.start_by_name(f"agent{i}")
             deployment.start_by_name(f"workr{i}")
-        await asyncio.sleep(2)
+        await asyncio.sleep(2 + STARTUP_S_PER_WORKER * max(0, settings.workers - WORKERS))
+        deployment.start_busy_processes()
         results, clients = [], []
         fault_task = asyncio.create_task(inject_faults(deployment, seconds))
         odd_task = asyncio.create_task(write_odd_entries(deployment, random.Random(f"odd {seed}"), seconds))
-        worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(WORKERS)]
+        group_task = asyncio.create_task(
+            inject_group_faults(deployment, random.Random(f"groups {seed}"), seconds if settings.group_faults else 0))
+        worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(settings.workers)]
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
             job = f"{rng.getrandbits(64):016x}"
             clients.append(asyncio.create_task(client(deployment, job, results, rng.random() < CRASHING_SHARE)))
-            await asyncio.sleep(rng.uniform(0.02, 0.08))
-        await asyncio.gather(fault_task, odd_task)
+            await asyncio.sleep(rng.uniform(0.02, 0.08) / settings.load)
+        await asyncio.gather(fault_task, odd_task, group_task)
         await asyncio.gather(*clients)
+        deployment.stop_busy_processes()
         # All jobs must be served again after the last fault.
         final_results, clients = [], []
         await asyncio.sleep(4)
@@ -383,7 +533,11 @@
             proxy.server.close()
     finally:
         deployment.kill_all()
-    violations = find_violations(work, results + final_results)
+    violations = find_violations(work, results + final_results, settings)
+    with open(f"{work}/clients.json", "w") as out:
+        # Runs are logged with the time of the monotonic clock.
+        json.dump({"wall_time": wall_time(), "monotonic_s": time.monotonic(), "violations": violations,
+                   "jobs": results + final_results}, out, indent=1)
     violations += [f"{name} crashed" for name in sorted(deployment.crashed)]
     served = sum(1 for record in final_results if record.get("answer", (0, ""))[0] == 200)
     if served < len(final_results):
@@ -400,7 +554,20 @@
     options.add_argument("--seconds", type=float, default=8, help="duration of the faults in a run")
     options.add_argument("--base-port", type=int, default=9000)
     options.add_argument("--keep", help="directory for the logs of failed runs")
+    options.add_argument("--entries", type=int, default=ENTRIES)
+    options.add_argument("--workers", type=int, default=WORKERS, help="each with an agent")
+    options.add_argument("--cpu-millis", type=int, default=WORKER_CPU_MILLIS, help="capacity of each worker")
+    options.add_argument("--domains", type=int, default=1, choices=range(1, len(DOMAINS) + 1))
+    options.add_argument("--load", type=float, default=1, help="factor of the rate of jobs")
+    options.add_argument("--busy", type=int, default=0, help="processes that only use processor time")
+    options.add_argument("--late-every", type=int, default=0, help="one in so many starts is executed late")
+    options.add_argument("--reset-share", type=float, default=0, help="share of calls whose connection is reset")
+    options.add_argument("--long-share", type=float, default=0,
+                         help="share of jobs with long tasks, if clients submit again")
+    options.add_argument("--resubmit-expired", action="store_true", help="clients submit again after their deadline")
+    options.add_argument("--group-faults", action="store_true", help="several processes are paused or killed together")
     arguments = options.parse_args()
+    settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
     if arguments.minutes:
         end = time.monotonic() + arguments.minutes * 60
         seeds = iter(lambda: int(time.time() * 1000) % 2**31 if time.monotonic() < end else None, None)
@@ -412,7 +579,7 @@
     passed = failed = 0
     for seed in seeds:
         with tempfile.TemporaryDirectory() as work:
-            violations, summary = asyncio.run(run(seed, arguments.seconds, arguments.base_port, work))
+            violations, summary = asyncio.run(run(seed, arguments.seconds, arguments.base_port, work, settings))
             if violations and arguments.keep:
                 os.makedirs(arguments.keep, exist_ok=True)
                 os.system(f"cp -r '{work}' '{arguments.keep}/seed-{seed}'")
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -65,6 +65,8 @@
     worker.domain = arguments["domain"].as<std::string>();
     worker.runLog = arguments["start-log"].as<std::string>();
     worker.cpuMillis = arguments["cpu-millis"].as<int>();
+    worker.lateEvery = arguments["late-every"].as<int>();
+    worker.lateStartDelay = Milliseconds(arguments["late-ms"].as<int>());
     PlatformWorkerStandin standin(worker);
     standin.run([] { return isStopping.load(); });
     return 0;
@@ -87,6 +89,8 @@
         "slots", options::value<int>()->default_value(8), "limit of concurrent tasks of the endpoint")(
         "domain", options::value<std::string>()->default_value("north"), "failure domain of the worker")(
         "cpu-millis", options::value<int>()->default_value(32'000), "capacity of the worker, in thousandths of a core")(
+        "late-every", options::value<int>()->default_value(0), "one in so many starts stays unanswered; 0 for none")(
+        "late-ms", options::value<int>()->default_value(2500), "delay after which the worker executes such a start")(
         "start-log", options::value<std::string>()->default_value(""), "file for a log of task starts; empty for none");
     options::positional_options_description positions;
     positions.add("kind", 1);
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -22,7 +22,6 @@
 constexpr int StatusOtherIncarnation = 421;
 constexpr Milliseconds AnnounceInterval{300};
 constexpr Milliseconds AnnounceTimeout{1000};
-constexpr Milliseconds LateStartDelay{2500};
 constexpr int LateStartPeriod = 100; ///< In this many starts, a share of lateShare_ is late.
 
 HttpServerOptions serverOptions(const std::string &listenAddress)
@@ -132,8 +131,8 @@
             return true;
         }
         absl::MutexLock lock(&mutex_);
-        if (std::holds_alternative<StartRun>(call) && ++startCount_ % LateStartPeriod < lateShare_ * LateStartPeriod) {
-            timers_.after(LateStartDelay, [this, call] {
+        if (std::holds_alternative<StartRun>(call) && isNextStartLate()) {
+            timers_.after(options_.lateStartDelay, [this, call] {
                 absl::MutexLock lateLock(&mutex_);
                 model_->call(call, monotonicNow());
                 writeRunLog();
@@ -153,6 +152,13 @@
     return true;
 }
 
+bool PlatformWorkerStandin::isNextStartLate()
+{
+    ++startCount_;
+    return startCount_ % LateStartPeriod < lateShare_ * LateStartPeriod
+        || (options_.lateEvery > 0 && startCount_ % options_.lateEvery == 0);
+}
+
 /** Ends the process, as a task that crashes its worker does. */
 void PlatformWorkerStandin::crashIfDue()
 {
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -23,6 +23,8 @@
     std::string agentAddress; ///< host:port of the agent that receives the announcements.
     std::string runLog; ///< File that gets a JSON line at each start and end of a run; empty for none.
     int cpuMillis = 32'000; ///< Capacity, in thousandths of a core.
+    int lateEvery = 0; ///< One in so many starts stays unanswered and is executed late; 0 for none.
+    Milliseconds lateStartDelay{2500}; ///< Delay of such a start.
 };
 
 /** Simulates, over HTTP, a worker of the platform that runs many tasks at once. A spec is "RUN_MS/CPU_MILLIS". */
@@ -43,6 +45,8 @@
 
 private:
     bool onRequest(const HttpRequest &request);
+    /** Whether the next start stays unanswered and is executed late. */
+    bool isNextStartLate() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void setFaults(const HttpRequest &request);
     /** Answers a poll once an unacknowledged end exists or at @p deadline; checks again later otherwise. */
     void answerPoll(uint64_t token, const PollRuns &poll, MonotonicTime deadline);
