--- a/misc/soak.py
+++ b/misc/soak.py
@@ -258,14 +258,14 @@
     return datetime.now(timezone.utc).isoformat(timespec="milliseconds")
 
 
-async def client(deployment, job, results, crashes=False):
-    """Submits a job, and again after each broken or interrupted call, until its deadline.
+async def client(deployment, job, results, crashes=False, settings=Settings()):
+    """Submits a job, and again after each broken or interrupted call, until its deadline or as the settings say.
 
     If it crashes, one of its tasks ends each worker process that starts it."""
     rng = deployment.rng
     tasks, run_ms = rng.choice([(8, 60), (4, 600), (2, 200)])
     attempt_s = ATTEMPT_DEADLINE_S
-    if random.Random(f"length {job}").random() < deployment.settings.long_share:
+    if random.Random(f"length {job}").random() < settings.long_share:
         tasks, run_ms, attempt_s = LONG_TASKS, LONG_RUN_MS, LONG_DEADLINE_S
     cpu_millis = 6200
     deadline = time.monotonic() + 3
@@ -277,7 +277,7 @@
     body = {"spec": f"{run_ms}/{cpu_millis}{crash_suffix}", "best-effort": True,
             "phases": [{"count": tasks, "cpu": cpu_millis, "mem-mb": 64, "estimate-ms": run_ms}]}
     entry = rng.randrange(deployment.settings.entries)
-    if deployment.settings.resubmit_expired or deployment.settings.reset_share:
+    if settings.resubmit_expired or settings.reset_share:
         await submit_persistently(deployment, record, body, entry, attempt_s)
         return
     while (remaining_s := deadline - time.monotonic()) > 0.05:
@@ -515,7 +515,8 @@
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
             job = f"{rng.getrandbits(64):016x}"
-            clients.append(asyncio.create_task(client(deployment, job, results, rng.random() < CRASHING_SHARE)))
+            crashes = rng.random() < CRASHING_SHARE
+            clients.append(asyncio.create_task(client(deployment, job, results, crashes, settings)))
             await asyncio.sleep(rng.uniform(0.02, 0.08) / settings.load)
         await asyncio.gather(fault_task, odd_task, group_task)
         await asyncio.gather(*clients)
@@ -568,6 +569,7 @@
     options.add_argument("--group-faults", action="store_true", help="several processes are paused or killed together")
     arguments = options.parse_args()
     settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # Ends the processes of the run first.
     if arguments.minutes:
         end = time.monotonic() + arguments.minutes * 60
         seeds = iter(lambda: int(time.time() * 1000) % 2**31 if time.monotonic() < end else None, None)
