Agent: start no order that arrives together with its withdrawal

An entry's order was lost with a connection, as links were blocked. The job passed its deadline; the entry answered 504 and withdrew the run. The client sent the job to another entry 1.35 s later. 70 ms after that start, the first agent was connected again and got the old order and its withdrawal in one batch: run_start_sent and run_stop_requested in the same millisecond. Cause: instructions are sent again over a new connection, in a batch whose echo is new. An order's age is judged by that echo, which shows that the batch is new, not that the entry still wants the run; the withdrawal came a moment too late. Change: an order that the same batch withdraws is rejected as not started. A withdrawal that follows in a later batch is no danger: the earlier batch then carries an echo older than it, and counts for 700 ms at most.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -229,6 +229,14 @@
         supervisor_.rejectRun(request, "order_stale");
         return;
     }
+    // An order that is sent again over a new connection may come together with its withdrawal.
+    const bool isWithdrawn = std::ranges::any_of(batch.instructions, [&](const wire::RunInstruction &each) {
+        return each.__isset.withdrawal && each.withdrawal.runNumber == order.runNumber;
+    });
+    if (isWithdrawn) {
+        supervisor_.rejectRun(request, "withdrawn");
+        return;
+    }
     supervisor_.requestRun(std::move(request), now);
 }
 
--- a/tests/request/work_agent_test.cpp
+++ b/tests/request/work_agent_test.cpp
@@ -289,6 +289,33 @@
     CHECK(sent.at(0).ends[0].outcome == wire::RunOutcome::NOT_STARTED);
 }
 
+TEST_CASE("An order that is sent again together with its withdrawal is not started")
+{
+    // Guards against two runs of one task: a connection breaks before the order arrives, the caller leaves and has the
+    // job run by another entry, and the next connection brings both instructions with a new proof of life.
+    ConnectedAgent fixture;
+    wire::RunInstruction ordered;
+    wire::RunOrder order;
+    order.runNumber = 1;
+    order.jobId = "abandoned";
+    order.attempt = 1;
+    order.demand.cpuMillis = 1000;
+    order.patienceMs = 250;
+    ordered.__set_order(order);
+    wire::RunInstruction withdrawn;
+    wire::RunWithdrawal withdrawal;
+    withdrawal.runNumber = order.runNumber;
+    withdrawn.__set_withdrawal(withdrawal);
+    const MonotonicTime now = Start + Milliseconds(20);
+    fixture.deliverBatch(0, {ordered, withdrawn}, now);
+    const auto sent = fixture.flushMessages(now);
+    CHECK(fixture.starts.empty());
+    REQUIRE(sent.contains(0));
+    REQUIRE(sent.at(0).ends.size() == 1);
+    CHECK(sent.at(0).ends[0].runNumber == order.runNumber);
+    CHECK(sent.at(0).ends[0].outcome == wire::RunOutcome::NOT_STARTED);
+}
+
 TEST_CASE("An agent that starts to drain tells entries on standby too")
 {
     ConnectedAgent fixture;
