--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -88,30 +88,29 @@
 
 PlatformWorkerStandin::PlatformWorkerStandin(PlatformWorkerOptions options)
     : options_(std::move(options))
+    , model_(makeModel())
+    , runLog_(options_.runLog, std::ios::app)
     , client_(1)
     , http_(
           serverOptions(options_.listenAddress),
           [this](const HttpRequest &request) { return onRequest(request); },
           [](const HttpRequest &) { return std::nullopt; })
 {
-    if (!options_.runLog.empty()) {
-        absl::MutexLock lock(&mutex_);
-        runLog_.open(options_.runLog, std::ios::app);
-    }
-    restart();
+}
+
+std::unique_ptr<WorkerModel> PlatformWorkerStandin::makeModel() const
+{
+    return std::make_unique<WorkerModel>(WorkerIdentity{options_.name, wallMilliseconds()}, 1.0, monotonicNow());
 }
 
 void PlatformWorkerStandin::restart()
 {
     absl::MutexLock lock(&mutex_);
-    if (model_) {
-        model_->crash(monotonicNow());
-        writeRunLog();
-    }
+    model_->crash(monotonicNow());
+    writeRunLog();
     isEndLogged_.clear();
     announcementSequence_ = 0;
-    const int64_t startTimeMs = wallMilliseconds();
-    model_ = std::make_unique<WorkerModel>(WorkerIdentity{options_.name, startTimeMs}, 1.0, monotonicNow());
+    model_ = makeModel();
 }
 
 bool PlatformWorkerStandin::onRequest(const HttpRequest &request)
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -54,6 +54,7 @@
     WorkerCall parseCall(const HttpRequest &request) const;
     void crashIfDue();
     void restart();
+    std::unique_ptr<WorkerModel> makeModel() const;
     void announce();
     static void waitForNextAnnouncement();
     void writeRunLog() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
