Soak: wait until the store has taken the configuration, and end a terminated run at once

A run that was terminated ended its processes but waited for tasks. Change: the write is repeated until the store answers; the handler of SIGTERM ends the processes and exits.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -224,6 +224,10 @@
         for process in self.processes.values():
             process.wait()
 
+    def end(self):
+        self.kill_all()
+        os._exit(1)
+
 
 async def http(port, method, path, body=None, headers=(), timeout=5.0, resets=False):
     """Sends one request; returns (status, body), or None without a complete response.
@@ -319,7 +323,7 @@
 
 async def write_row(deployment, table, key, value):
     row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value.encode()).decode()}
-    await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
+    return await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
 
 
 async def write_odd_entries(deployment, rng, seconds):
@@ -349,7 +353,8 @@
     configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
                                                "service": "orders", "target-latency-ms": 60, "max-attempts": 3,
                                                "priority": 0, "stretch": 1.6}]}
-    await write_row(deployment, "op", "config", json.dumps(configuration))
+    while await write_row(deployment, "op", "config", json.dumps(configuration)) is None:
+        await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
 async def inject_faults(deployment, seconds):
@@ -491,6 +496,7 @@
     rng = random.Random(seed)
     CONNECTIONS.clear()
     deployment = Deployment(work, base, rng, settings)
+    signal.signal(signal.SIGTERM, lambda *_: deployment.end())
     try:
         deployment.start_by_name("store")
         proxies = [Proxy(deployment.port("proxy", i), deployment.port("link", i))
@@ -569,7 +575,6 @@
     options.add_argument("--group-faults", action="store_true", help="several processes are paused or killed together")
     arguments = options.parse_args()
     settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))  # Ends the processes of the run first.
     if arguments.minutes:
         end = time.monotonic() + arguments.minutes * 60
         seeds = iter(lambda: int(time.time() * 1000) % 2**31 if time.monotonic() < end else None, None)
