--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -1,6 +1,7 @@
 #include "core/error.h"
 #include "process/settings.h"
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include <cstdio>
@@ -115,7 +116,7 @@
         = [](const std::string &text) { return settingsOf<WorkAgentSettings>(ValidWorkAgent + text).options; };
     constexpr Milliseconds StopTime{50};
     for (const int delayMs : {700, 1000, 1300, 5000}) {
-        const WorkAgentOptions options = agent("resubmission_delay = " + std::to_string(delayMs) + "ms\n");
+        const WorkAgentOptions options = agent(absl::StrCat("resubmission_delay = ", delayMs, "ms\n"));
         const Milliseconds delay(delayMs);
         CHECK(options.worker.leaseLimit + StopTime <= delay);
         CHECK(options.entryTimeout + StopTime < options.worker.leaseLimit);
