Test with real processes: an order that comes together with its withdrawal is not started

A proxy blocks the data from one entry to the agents. A client hands a job in there, leaves after 0.2 s and sends it to the other entry 1.3 s later; 0.15 s after that the links are free again, and the agents get the orders and their withdrawal in one batch over their newest connection.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -59,6 +59,7 @@
 
     def __init__(self, listen, target):
         self.listen, self.target, self.connections = listen, target, set()
+        self.blocked_until = {"up": 0.0, "down": 0.0}  # Also for connections yet to come.
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.listen)
@@ -82,7 +83,8 @@
     async def pump(self, connection, direction, reader, writer):
         try:
             while data := await reader.read(65536):
-                while time.monotonic() < connection[direction]:  # Blocked data is delayed, not dropped.
+                # Blocked data is delayed, not dropped.
+                while time.monotonic() < max(connection[direction], self.blocked_until[direction]):
                     await asyncio.sleep(0.01)
                 if connection["delay"]:
                     await asyncio.sleep(connection["delay"])
