--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -10,16 +10,14 @@
 namespace {
 
 constexpr Milliseconds TickInterval{10};
-constexpr Milliseconds ResubmitDelay{1300};
 constexpr Microseconds NodeLatency{1400};
-constexpr const char *Host = "desk.example";
 
 /** A queue; priority 0 is the most urgent and has the shortest tasks. */
 wire::Route makeRoute(const std::string &name, int priority)
 {
     wire::Route route;
     route.name = name;
-    route.host = Host;
+    route.host = HostName;
     route.pathPrefix = "/" + name + "/";
     route.serviceName = ServiceName;
     route.priority = priority;
@@ -74,6 +72,12 @@
         action();
     }
     now_ = end;
+    // A worker without calls from its agent ends its runs all the same.
+    std::ranges::for_each(workers_, [this](const auto &each) {
+        if (each) {
+            each->advance(now_);
+        }
+    });
 }
 
 int WorkSimulation::capacityOf(int agent) const
@@ -144,57 +148,7 @@
     schedule(TickInterval, [this, agent, generation] { tickAgent(agent, generation); });
 }
 
-void WorkSimulation::deliverToEntry(int entry, int64_t generation, WorkEntryEvent event)
-{
-    auto &node = entries_.at(static_cast<size_t>(entry));
-    if (node.generation != generation || !node.core) {
-        return;
-    }
-    if (now_ < node.frozenUntil) {
-        actions_[{node.frozenUntil, ++lastActionId_}] = [this, entry, generation, event = std::move(event)]() mutable {
-            deliverToEntry(entry, generation, std::move(event));
-        };
-        return;
-    }
-    node.core->handle(event, now_);
-    flushEntry(entry);
-}
-
-void WorkSimulation::deliverToAgent(int agent, int64_t generation, WorkAgentEvent event)
-{
-    auto &node = agents_.at(static_cast<size_t>(agent));
-    if (node.generation != generation || !node.core) {
-        return;
-    }
-    if (now_ < node.frozenUntil) {
-        actions_[{node.frozenUntil, ++lastActionId_}] = [this, agent, generation, event = std::move(event)]() mutable {
-            deliverToAgent(agent, generation, std::move(event));
-        };
-        return;
-    }
-    node.core->handle(event, now_);
-    flushAgent(agent);
-}
-
-void WorkSimulation::flushEntry(int entry)
-{
-    for (WorkEntryCommand &command : entries_.at(static_cast<size_t>(entry)).core->flush(now_)) {
-        execute(entry, command);
-    }
-}
-
-void WorkSimulation::flushAgent(int agent)
-{
-    auto &node = agents_.at(static_cast<size_t>(agent));
-    for (WorkAgentCommand &command : node.core->flush(now_)) {
-        execute(agent, command);
-        if (!node.core) {
-            return;
-        }
-    }
-}
-
-void WorkSimulation::execute(int, WorkEntryCommand &command)
+void WorkSimulation::execute(int entry, WorkEntryCommand &command)
 {
     if (auto *each = std::get_if<SendToLink>(&command)) {
         sendToAgent(each->link, std::move(each->message));
@@ -202,6 +156,7 @@
         onResponse(*each);
     } else if (const auto *each = std::get_if<LogEvent>(&command)) {
         recordDispatch(*each);
+        recordLog(absl::StrCat("entry-", entry), *each);
     }
 }
 
@@ -216,6 +171,8 @@
         }
     } else if (const auto *each = std::get_if<WorkerCall>(&command)) {
         callWorker(agent, *each);
+    } else if (const auto *each = std::get_if<LogEvent>(&command)) {
+        recordLog(absl::StrCat("agent-", agent), *each);
     } else if (std::holds_alternative<Stop>(command)) {
         killAgent(agent, Milliseconds(1000));
     }
@@ -293,57 +250,6 @@
     }
 }
 
-void WorkSimulation::submit(const SimulatedJob &job, int entry, Milliseconds timeout)
-{
-    sendCall(job, entry, now_ + timeout);
-}
-
-void WorkSimulation::sendCall(const SimulatedJob &job, int entry, MonotonicTime deadlineAt)
-{
-    if (now_ >= deadlineAt) {
-        return;
-    }
-    calls_.push_back(CallRecord{job, now_, MonotonicTime(), std::nullopt, false, false});
-    const uint64_t token = calls_.size();
-    SubmitWork call;
-    call.address = CallAddress{token, Host, absl::StrCat("/", job.queue, "/", job.id), absl::StrCat("r-", token)};
-    call.timeout = Milliseconds(millisecondsBetween(now_, deadlineAt));
-    WorkStep step;
-    step.count = job.tasks;
-    step.demand = {job.cpuMillis, 64, 0};
-    step.estimate = Milliseconds(job.estimateMs);
-    call.job.steps = {step};
-    call.job.spec = makeSpec(job.runMs, job.cpuMillis, job.crashingTask);
-    resubmissions_[token] = {entry, [=, this] { sendCall(job, (entry + 1) % options_.entries, deadlineAt); }};
-    const int64_t generation = entries_.at(static_cast<size_t>(entry)).generation;
-    if (!entries_.at(static_cast<size_t>(entry)).core) {
-        calls_.back().isConnectionLost = true;
-        schedule(ResubmitDelay, resubmissions_.at(token).second);
-        return;
-    }
-    deliverToEntry(entry, generation, call);
-    actions_[{deadlineAt, ++lastActionId_}] = [this, token, entry, generation] {
-        CallRecord &record = calls_.at(token - 1);
-        if (!record.response && !record.isConnectionLost) {
-            record.isAbandoned = true;
-            deliverToEntry(entry, generation, CallAbandoned{token});
-        }
-    };
-}
-
-void WorkSimulation::onResponse(const CallResponse &response)
-{
-    CallRecord &record = calls_.at(response.token - 1);
-    if (record.isConnectionLost || record.isAbandoned) {
-        return;
-    }
-    record.response = response;
-    record.respondedAt = now_;
-    if (response.status == ResponseStatus::Interrupted) {
-        schedule(ResubmitDelay, resubmissions_.at(response.token).second);
-    }
-}
-
 void WorkSimulation::killEntry(int entry, Milliseconds downtime)
 {
     auto &node = entries_.at(static_cast<size_t>(entry));
@@ -351,14 +257,11 @@
         return;
     }
     closeConnections([&](const Connection &conn) { return conn.entry == entry; });
-    node.core.reset();
-    node.generation = ++lastGeneration_;
-    for (size_t i = 0; i < calls_.size(); ++i) {
-        CallRecord &record = calls_[i];
-        const auto &[callEntry, resubmit] = resubmissions_.at(i + 1);
-        if (callEntry == entry && !record.response && !record.isConnectionLost && !record.isAbandoned) {
-            record.isConnectionLost = true;
-            schedule(ResubmitDelay, resubmit);
+    node = EntryNode{nullptr, ++lastGeneration_};
+    for (uint64_t token = 1; token <= calls_.size(); ++token) {
+        if (submissions_.at(token - 1).entry == entry && isWaiting(token)) {
+            calls_.at(token - 1).isConnectionLost = true;
+            resend(token);
         }
     }
     schedule(downtime, [this, entry] { startEntry(entry); });
@@ -371,8 +274,7 @@
         return;
     }
     closeConnections([&](const Connection &conn) { return conn.agent == agent; });
-    node.core.reset();
-    node.generation = ++lastGeneration_;
+    node = AgentNode{nullptr, ++lastGeneration_};
     schedule(downtime, [this, agent] { startAgent(agent); });
 }
 
@@ -381,16 +283,6 @@
     deliverToAgent(agent, agents_.at(static_cast<size_t>(agent)).generation, DrainRequested{});
 }
 
-void WorkSimulation::freezeEntry(int entry, Milliseconds duration)
-{
-    entries_.at(static_cast<size_t>(entry)).frozenUntil = now_ + duration;
-}
-
-void WorkSimulation::freezeAgent(int agent, Milliseconds duration)
-{
-    agents_.at(static_cast<size_t>(agent)).frozenUntil = now_ + duration;
-}
-
 void WorkSimulation::blockMessages(int entry, int agent, bool toAgent, bool toEntry, Milliseconds duration)
 {
     if (toAgent) {
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -20,6 +20,8 @@
 constexpr Milliseconds TargetLatency{60};
 /** The service of all workers and queues. */
 inline constexpr const char *ServiceName = "orders";
+/** The host of all calls. */
+inline constexpr const char *HostName = "desk.example";
 
 struct SimulationOptions
 {
@@ -35,6 +37,9 @@
     double lostResponseShare = 0; ///< Fraction of starts executed at once whose response is lost.
     double lateOrderShare = 0; ///< Fraction of starts executed seconds later, without a response.
     bool offers = false; ///< The setting `offers` of entries and agents.
+    double lateStopShare = 0; ///< Fraction of stops executed seconds later, without a response.
+    bool callersReturn = false; ///< Callers send a job again, with a new deadline, after theirs has passed.
+    bool recordsLog = false; ///< See log().
 };
 
 /** A job of equal tasks. */
@@ -57,7 +62,7 @@
     MonotonicTime respondedAt;
     std::optional<CallResponse> response;
     bool isConnectionLost = false; ///< The entry was killed or was not running.
-    bool isAbandoned = false; ///< The caller reached its deadline without a response.
+    bool isAbandoned = false; ///< The caller reached its deadline without a response, or gave up.
 };
 
 /**
@@ -85,6 +90,10 @@
     void drainAgent(int agent);
     void freezeEntry(int entry, Milliseconds duration);
     void freezeAgent(int agent, Milliseconds duration);
+    /** Resets the connections of this fraction of the callers that wait at the entry. They send their jobs again. */
+    void resetCallers(int entry, double share);
+    /** This fraction of the callers that wait at the entry leave for good. */
+    void giveUpCalls(int entry, double share);
     /** Delays messages between an entry and an agent, in the given directions, by up to @p duration. */
     void blockMessages(int entry, int agent, bool toAgent, bool toEntry, Milliseconds duration);
     /** Kills the worker of an agent and starts another one, under the same id if @p keepsId. */
@@ -132,6 +141,12 @@
         return calls_;
     }
 
+    /** The log lines of all processes, with their time in milliseconds. */
+    const std::vector<std::string> &log() const
+    {
+        return log_;
+    }
+
     /** A description of each violated invariant. */
     std::vector<std::string> violations() const;
 
@@ -157,23 +172,64 @@
         MonotonicTime lastArrivalAtEntry{};
     };
 
-    template<typename Core>
+    /** Where a process is when it freezes. */
+    enum class FreezePoint {
+        Idle,
+        AfterTake, ///< It has taken events from its queue and has not handled them.
+        BeforeExecution, ///< It has handled events and has not executed the commands.
+    };
+
+    template<typename Core, typename Event, typename Command>
     struct Node
     {
         std::unique_ptr<Core> core; ///< Null while the process is down.
         int64_t generation = 0; ///< Events for an earlier generation are dropped.
-        MonotonicTime frozenUntil;
+        bool isFrozen = false; ///< Until all events that arrived meanwhile are handled.
+        MonotonicTime frozenAt{};
+        MonotonicTime frozenUntil{};
+        FreezePoint freezePoint = FreezePoint::Idle;
+        std::vector<Event> taken{}; ///< Taken from the queue before the freeze.
+        std::vector<Event> deferred{}; ///< Arrived during the freeze.
+        std::vector<Command> heldCommands{}; ///< Of the events that were handled before the freeze.
+        std::vector<uint64_t> closedCalls{}; ///< Calls whose caller has left since the last pass.
+    };
+    using EntryNode = Node<WorkEntry, WorkEntryEvent, WorkEntryCommand>;
+    using AgentNode = Node<WorkAgent, WorkAgentEvent, WorkAgentCommand>;
+
+    /** A caller's job and its place among the sends of that job. */
+    struct Submission
+    {
+        SimulatedJob job;
+        int entry = 0;
+        Milliseconds timeout{0};
+        MonotonicTime deadlineAt;
+        int resends = 0;
     };
 
     void startEntry(int entry);
     void startAgent(int agent);
     void deliverToEntry(int entry, int64_t generation, WorkEntryEvent event);
     void deliverToAgent(int agent, int64_t generation, WorkAgentEvent event);
-    void flushEntry(int entry);
-    void flushAgent(int agent);
+    /** Handles events as one pass of the process; its loop looks which callers have left before it handles any. */
+    void handlePass(int entry, const std::vector<WorkEntryEvent> &events, bool looksAtCallers);
+    void handlePass(int agent, const std::vector<WorkAgentEvent> &events);
+    template<typename NodeType>
+    void freeze(NodeType &node, Milliseconds duration);
+    /** Whether the node is frozen; if so, keeps the event for later. */
+    template<typename NodeType, typename Event>
+    bool deferIfFrozen(NodeType &node, const Event &event);
+    void wakeEntry(int entry, int64_t generation);
+    void wakeAgent(int agent, int64_t generation);
+    /** Removes the events of the next pass of a process that wakes, in an order that threads can produce. */
+    template<typename Event>
+    std::vector<Event> takePass(std::vector<Event> &deferred);
+    void executeAll(int entry, std::vector<WorkEntryCommand> commands);
+    void executeAll(int agent, std::vector<WorkAgentCommand> commands);
     void execute(int entry, WorkEntryCommand &command);
     void execute(int agent, WorkAgentCommand &command);
     void recordDispatch(const LogEvent &event);
+    void recordLog(const std::string &process, const LogEvent &event);
+    void replyToAgent(int agent, int64_t generation, WorkerReply reply, MonotonicTime timeoutAt);
     void sendToEntry(int agent, const std::string &address, Message message);
     void sendToAgent(LinkId link, Message message);
     void closeConnections(const std::function<bool(const Connection &)> &matches);
@@ -181,12 +237,15 @@
     WorkerReply executeStart(int agent, const StartRun &start);
     void crashIfDue(int agent, const RunKey &key);
     void refuseCall(int agent, int64_t generation, const WorkerCall &call);
-    void respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until);
+    void
+    respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until, MonotonicTime timeoutAt);
     void announceWorker(int agent);
     void tickEntry(int entry, int64_t generation);
     void tickAgent(int agent, int64_t generation);
     void onResponse(const CallResponse &response);
-    void sendCall(const SimulatedJob &job, int entry, MonotonicTime deadlineAt);
+    void sendCall(const Submission &submission);
+    void resend(uint64_t token);
+    bool isWaiting(uint64_t token) const;
     int capacityOf(int agent) const;
     MonotonicTime arrivalTime(int entry, int agent, bool isToAgent) const;
     std::string addressOf(int entry) const;
@@ -197,8 +256,8 @@
     MonotonicTime now_;
     int64_t lastActionId_ = 0;
     std::map<std::pair<MonotonicTime, int64_t>, std::function<void()>> actions_;
-    std::vector<Node<WorkEntry>> entries_;
-    std::vector<Node<WorkAgent>> agents_;
+    std::vector<EntryNode> entries_;
+    std::vector<AgentNode> agents_;
     std::vector<std::unique_ptr<WorkerModel>> workers_; ///< Index is the agent's. Null while the worker is down.
     std::vector<std::pair<int, std::unique_ptr<WorkerModel>>> deadWorkers_; ///< With their agent's index.
     std::vector<int64_t> announcementSequences_; ///< Index is the agent's.
@@ -206,8 +265,9 @@
     std::map<std::pair<int, std::string>, LinkId> links_; ///< Key is the agent's index and the entry's address.
     std::map<std::tuple<int, int, bool>, MonotonicTime> blockedUntil_; ///< Key is entry, agent and isToAgent.
     std::vector<CallRecord> calls_; ///< Index is the token minus 1.
-    /** Key is the token; the entry of the call, and the action that sends the call again. */
-    std::map<uint64_t, std::pair<int, std::function<void()>>> resubmissions_;
+    std::vector<Submission> submissions_; ///< Index is the token minus 1.
+    std::set<uint64_t> endedCalls_; ///< Calls that their entry has ended because the caller had left.
+    std::vector<std::string> log_;
     std::map<std::pair<std::string, int>, int> crashesByTask_;
     LinkId lastLink_ = 0;
     int64_t lastGeneration_ = 0;
--- a/tests/support/work_simulation_workers.cpp
+++ b/tests/support/work_simulation_workers.cpp
@@ -27,6 +27,7 @@
         schedule(Milliseconds(0), [this, agent, generation, notSent] { deliverToAgent(agent, generation, notSent); });
         return;
     }
+    const MonotonicTime timeoutAt = now_ + std::visit([](const auto &each) { return each.timeout; }, call);
     const bool isLost = std::holds_alternative<StartRun>(call) && drawBool(options_.lostResponseShare);
     const bool isLate = std::holds_alternative<StartRun>(call) && !isLost && drawBool(options_.lateOrderShare);
     if (isLate || isLost) {
@@ -42,24 +43,50 @@
         schedule(start.timeout, [this, agent, generation, noReply] { deliverToAgent(agent, generation, noReply); });
         return;
     }
-    actions_[{now_ + WorkerLatency, ++lastActionId_}] = [this, agent, generation, call] {
+    if (std::holds_alternative<StopRun>(call) && drawBool(options_.lateStopShare)) {
+        std::uniform_int_distribution<int> delay(2000, 6000);
+        schedule(Milliseconds(delay(random_)), [this, agent, call] {
+            if (workers_.at(static_cast<size_t>(agent))) {
+                worker(agent).call(call, now_);
+            }
+        });
+        WorkerReply noReply;
+        noReply.callId = std::get<StopRun>(call).callId;
+        actions_[{timeoutAt, ++lastActionId_}]
+            = [this, agent, generation, noReply] { deliverToAgent(agent, generation, noReply); };
+        return;
+    }
+    actions_[{now_ + WorkerLatency, ++lastActionId_}] = [this, agent, generation, call, timeoutAt] {
         if (!workers_.at(static_cast<size_t>(agent))) {
             refuseCall(agent, generation, call);
             return;
         }
         if (const auto *start = std::get_if<StartRun>(&call)) {
-            deliverToAgent(agent, generation, executeStart(agent, *start));
+            replyToAgent(agent, generation, executeStart(agent, *start), timeoutAt);
             return;
         }
         if (const auto *poll = std::get_if<PollRuns>(&call)) {
             worker(agent).call(call, now_);
-            respondToPoll(agent, generation, *poll, now_ + poll->wait);
+            respondToPoll(agent, generation, *poll, now_ + poll->wait, timeoutAt);
             return;
         }
-        deliverToAgent(agent, generation, worker(agent).call(call, now_));
+        replyToAgent(agent, generation, worker(agent).call(call, now_), timeoutAt);
     };
 }
 
+/** The HTTP client reports a call as timed out if it is past its time-out, even if the response has arrived. */
+void WorkSimulation::replyToAgent(int agent, int64_t generation, WorkerReply reply, MonotonicTime timeoutAt)
+{
+    const auto &node = agents_.at(static_cast<size_t>(agent));
+    constexpr double TimeoutShare = 0.5;
+    if (node.isFrozen && node.frozenUntil > timeoutAt && drawBool(TimeoutShare)) {
+        WorkerReply noReply;
+        noReply.callId = reply.callId;
+        reply = noReply;
+    }
+    deliverToAgent(agent, generation, std::move(reply));
+}
+
 WorkerReply WorkSimulation::executeStart(int agent, const StartRun &start)
 {
     WorkerModel &model = worker(agent);
@@ -104,7 +131,8 @@
     deliverToAgent(agent, generation, refused);
 }
 
-void WorkSimulation::respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until)
+void WorkSimulation::respondToPoll(
+    int agent, int64_t generation, const PollRuns &poll, MonotonicTime until, MonotonicTime timeoutAt)
 {
     if (!workers_.at(static_cast<size_t>(agent))) {
         refuseCall(agent, generation, poll);
@@ -115,12 +143,13 @@
     if (model.hasEndsAfter(poll.acknowledgedEnd) || now_ >= until) {
         PollRuns immediatePoll = poll;
         immediatePoll.leaseEndMs.reset();
-        deliverToAgent(agent, generation, model.call(immediatePoll, now_));
+        replyToAgent(agent, generation, model.call(immediatePoll, now_), timeoutAt);
         return;
     }
     // Polls every millisecond, because a run that starts later may end before all current runs.
-    actions_[{now_ + Milliseconds(1), ++lastActionId_}]
-        = [this, agent, generation, poll, until] { respondToPoll(agent, generation, poll, until); };
+    actions_[{now_ + Milliseconds(1), ++lastActionId_}] = [this, agent, generation, poll, until, timeoutAt] {
+        respondToPoll(agent, generation, poll, until, timeoutAt);
+    };
 }
 
 WorkerModel &WorkSimulation::worker(int agent)
