Agent: look which entries have expired at the tick, after the messages of the pass

Cause: the look before each event judged the entries before the messages that had come during a standstill were handled. After 500 ms, with a proof 250 ms old, all runs of living entries would have been stopped although a newer echo was in the same pass. Change: the look is back at the tick, which a pass handles last. Starts don't need it: their send deadline and the check before a repeat guard them.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -49,8 +49,6 @@
 
 void WorkAgent::handle(const WorkAgentEvent &event, MonotonicTime now)
 {
-    // Before each event, since an agent that wakes may handle any other one before the next tick.
-    expireSilentEntries(now);
     std::visit(Overloaded{
                    [&](const Tick &) { onTick(now); },
                    [&](const PeerMessage &each) { onEntryBatch(each, now); },
@@ -262,6 +260,7 @@
     supervisor_.tick(now);
     for (auto &[address, entry] : entries_) {
         maintainConnection(address, entry, now);
+        checkEntryLiveness(entry, now);
     }
     askForOperatorState(now);
     const bool hasNoConnection
@@ -300,13 +299,6 @@
     send(address, entry, Report{supervisor_.state(), supervisor_.freeCapacity()}, now);
 }
 
-void WorkAgent::expireSilentEntries(MonotonicTime now)
-{
-    for (auto &[address, entry] : entries_) {
-        checkEntryLiveness(entry, now);
-    }
-}
-
 void WorkAgent::checkEntryLiveness(Entry &entry, MonotonicTime now)
 {
     if (entry.isExpired || entryLiveness_.isAlive(entry.incarnation, now)) {
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -146,7 +146,6 @@
     void onDrain(MonotonicTime now);
     void addEntry(const std::string &address);
     void maintainConnection(const std::string &address, Entry &entry, MonotonicTime now);
-    void expireSilentEntries(MonotonicTime now);
     void checkEntryLiveness(Entry &entry, MonotonicTime now);
     void applyOperatorState(const wire::OperatorState &state, MonotonicTime now);
     Milliseconds capacityUpdateDelay(const Entry &entry, const Report &report) const;
