Settings: an agent's lease limit also follows from the entries' session time-out

Cause: with a resubmission delay above 1.9 s an agent could keep runs of a silent entry longer than the 1,850 ms after which that entry takes them for ended. And a max_lease below the usual interval of renewals ended the process with a message that named another setting. Found in review. Change: the limit is the shorter one of both delays; the interval of renewals is at most a third of the lease. Result: settings_test.cpp checks both, and the limit on a clock that is 2% slow.

--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -177,12 +177,14 @@
     const Milliseconds usualProofAge = 2 * options.heartbeatInterval;
     const Milliseconds maxLease = maxLeaseFor(limits, usualProofAge);
     const Milliseconds maxEntryTimeout = maxEntryTimeoutFor(limits);
-    if (maxLease <= options.worker.maxPollWait || maxEntryTimeout <= usualProofAge) {
+    if (maxLease <= Milliseconds(0) || maxEntryTimeout <= usualProofAge) {
         throw Error(ErrorKind::Settings,
                     "[platform] resubmission_delay",
                     "is too short for the intervals of messages and lease renewals",
-                    "lower [work_agent] beat and watch, or use the deployment's value");
+                    "lower [work_agent] beat, or use the deployment's value");
     }
+    constexpr int RenewalsPerLease = 3;
+    options.worker.maxPollWait = std::min(options.worker.maxPollWait, maxLease / RenewalsPerLease);
     options.worker.leaseLimit = leaseLimitFor(limits);
     options.entryTimeout = readBoundedDuration(ini,
                                                "entry_lapse",
@@ -221,8 +223,7 @@
         = ini.duration(Section, "drain_least", std::min(options.minDrainTime, options.shutdownTimeout));
     options.directory.heartbeatInterval = ini.duration(Section, "beat", options.directory.heartbeatInterval);
     options.directory.suspectTimeout = ini.duration(Section, "suspect", options.directory.suspectTimeout);
-    const Milliseconds agentEntryTimeout = WorkAgentOptions().entryTimeout;
-    const Milliseconds minSessionTimeout = sessionTimeoutFor(readWorkerLimits(ini), agentEntryTimeout);
+    const Milliseconds minSessionTimeout = sessionTimeoutFor(readWorkerLimits(ini), DefaultEntryTimeout);
     options.directory.sessionTimeout = ini.duration(Section, "give_up", minSessionTimeout);
     if (options.directory.sessionTimeout < minSessionTimeout) {
         throw Error(ErrorKind::Settings,
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -31,7 +31,8 @@
     Milliseconds standbyUpdateInterval{200};
     /** An entry that has put this agent on standby is disconnected after this long without a message. */
     Milliseconds standbyTimeout{9000};
-    Milliseconds entryTimeout{700}; ///< An entry's runs are stopped after this long without proof that it is alive.
+    /** An entry's runs are stopped after this long without proof that it is alive. */
+    Milliseconds entryTimeout = DefaultEntryTimeout;
     /**
      * Minimum interval between two messages to an entry that only report changed free capacity, multiplied by the
      * number of connected entries that use this worker. This bounds the messages that all agents together send to one
--- a/request/worker_lease.cpp
+++ b/request/worker_lease.cpp
@@ -38,7 +38,8 @@
 
 Milliseconds leaseLimitFor(const WorkerLimits &limits)
 {
-    return (limits.resubmissionDelay - limits.maxStopTime) * 100 / (100 + ProcessClockPercent);
+    const Milliseconds end = std::min(limits.resubmissionDelay, sessionTimeoutFor(limits, DefaultEntryTimeout));
+    return (end - limits.maxStopTime) * 100 / (100 + ProcessClockPercent);
 }
 
 Milliseconds maxEntryTimeoutFor(const WorkerLimits &limits)
--- a/request/worker_lease.h
+++ b/request/worker_lease.h
@@ -7,6 +7,9 @@
 
 namespace marjoramferry {
 
+/** Default of the time without proof that an entry is alive after which its runs are stopped. */
+inline constexpr Milliseconds DefaultEntryTimeout{700};
+
 /** Limits of the deployment on runs and processes. */
 struct WorkerLimits
 {
@@ -27,7 +30,8 @@
 
 /**
  * Time after the last proof that an entry is alive at which the lease of its runs must have ended. The entry may have
- * lost its callers right after that proof, and no run may be left when they send their jobs to another entry.
+ * lost its callers right after that proof, and no run may be left when they send their jobs to another entry, or when
+ * the entry itself takes the runs of a silent agent for ended.
  */
 Milliseconds leaseLimitFor(const WorkerLimits &limits);
 
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -118,7 +118,10 @@
     for (const int delayMs : {700, 1000, 1300, 5000}) {
         const WorkAgentOptions options = agent(absl::StrCat("resubmission_delay = ", delayMs, "ms\n"));
         const Milliseconds delay(delayMs);
-        CHECK(options.worker.leaseLimit + StopTime <= delay);
+        constexpr Milliseconds GiveUp{
+            1850}; // The entry takes the runs of an agent that is silent for so long for ended.
+        constexpr double SlowClock = 1.02;
+        CHECK(options.worker.leaseLimit * SlowClock + StopTime <= std::min(delay, GiveUp));
         CHECK(options.entryTimeout + StopTime < options.worker.leaseLimit);
         CHECK(options.worker.leaseDuration < options.worker.leaseLimit);
         CHECK(options.worker.leaseDuration > options.worker.maxPollWait);
@@ -126,6 +129,7 @@
     for (const char *text : {"", "resubmission_delay = 1300ms\n"}) {
         CHECK(agent(text).entryTimeout == Milliseconds(700));
         CHECK(agent(text).worker.leaseDuration == Milliseconds(600));
+        CHECK(agent(text).worker.maxPollWait == Milliseconds(200));
     }
 }
 
@@ -142,6 +146,10 @@
                Contains("[work_agent] lease") && Contains("use at most"));
     CHECK_THAT(settingsError(ValidWorkAgent + "resubmission_delay = 300ms\n"),
                Contains("[platform] resubmission_delay") && Contains("lower [work_agent] beat"));
+    CHECK_THAT(settingsError(ValidWorkAgent + "resubmission_delay = 5s\n[work_agent]\nentry_lapse = 3s\n"),
+               Contains("[work_agent] entry_lapse") && Contains("use at most"));
+    CHECK(settingsOf<WorkAgentSettings>(ValidWorkAgent + "max_lease = 150ms\n").options.worker.maxPollWait
+          < Milliseconds(150));
     CHECK_THAT(settingsError(ValidWorkAgent + "process_grace = 1s\n"), Contains("[platform] process_grace"));
     CHECK_THAT(settingsError(ValidWorkEntry + "remote_slowdown = 0.5\n"), Contains("[platform] remote_slowdown"));
     CHECK_THAT(settingsError(ValidWorkEntry + "remote_slowdown = nan\n"), Contains("[platform] remote_slowdown"));
