Do not take runs of a restarted worker for ended while an earlier call may extend their lease

What callers could see: two runs of one task for up to 0.3 s, if a worker restarts under its ID within a lease and then stops answering. Found in review by reading; the unit test fails before the change, a deployment has not shown it. Cause: the agent counted on the leases that it had requested on the new process's clock. A call that was under way at the restart carries an end of the old clock, for which the new process grants the longest lease, and a lease never shortens. Change: after a restart the lease is assumed to last for the longest time that the worker grants, on a slow clock.

--- a/process/settings.cpp
+++ b/process/settings.cpp
@@ -186,6 +186,7 @@
     constexpr int RenewalsPerLease = 3;
     options.worker.maxPollWait = std::min(options.worker.maxPollWait, maxLease / RenewalsPerLease);
     options.worker.leaseLimit = leaseLimitFor(limits);
+    options.worker.longestLease = longestLeaseFor(limits);
     options.entryTimeout = readBoundedDuration(ini,
                                                "entry_lapse",
                                                options.entryTimeout,
--- a/request/worker_lease.cpp
+++ b/request/worker_lease.cpp
@@ -42,6 +42,11 @@
     return (end - limits.maxStopTime) * 100 / (100 + ProcessClockPercent);
 }
 
+Milliseconds longestLeaseFor(const WorkerLimits &limits)
+{
+    return onSlowClock(limits.maxLease);
+}
+
 Milliseconds maxEntryTimeoutFor(const WorkerLimits &limits)
 {
     return leaseLimitFor(limits) - limits.maxStopTime - StopMargin;
@@ -91,7 +96,7 @@
     const int64_t end = clockMs_.value_or(0) + remaining.count();
     if (end > endMs_) {
         endMs_ = end;
-        latestEnd_ = clockObservedAt_ + onSlowClock(remaining);
+        assumeExtendedTo(clockObservedAt_ + onSlowClock(remaining));
     }
     return endMs_;
 }
--- a/request/worker_lease.h
+++ b/request/worker_lease.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -35,6 +36,9 @@
  */
 Milliseconds leaseLimitFor(const WorkerLimits &limits);
 
+/** The longest time that a worker can take for a lease, on a clock that may be slow. */
+Milliseconds longestLeaseFor(const WorkerLimits &limits);
+
 /** The longest time-out after which an entry's runs are stopped, so that they end before their lease is cut short. */
 Milliseconds maxEntryTimeoutFor(const WorkerLimits &limits);
 
@@ -78,6 +82,12 @@
      */
     int64_t extend(MonotonicTime now, MonotonicTime latest);
 
+    /** Records that calls which the agent doesn't account for may have extended the lease up to @p end. */
+    void assumeExtendedTo(MonotonicTime end)
+    {
+        latestEnd_ = std::max(latestEnd_, end);
+    }
+
     /** When the lease ends at the latest, if the worker has received all calls. */
     MonotonicTime latestEnd() const
     {
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -44,6 +44,7 @@
     Milliseconds leaseDuration{600}; ///< The worker ends its runs this long after the agent's last renewal.
     /** From the last proof that an entry is alive to the end of the lease of its runs, at most. */
     Milliseconds leaseLimit = leaseLimitFor(WorkerLimits());
+    Milliseconds longestLease = longestLeaseFor(WorkerLimits()); ///< That the worker grants, on a slow clock.
     Milliseconds maxPollWait{200}; ///< How long a poll waits for an end; also the interval of lease renewals.
     Milliseconds callTimeout{150}; ///< Timeout of a call that the worker answers without waiting.
     Milliseconds startTimeout{20}; ///< Timeout of the first StartRun, which can be resent unchanged.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -151,6 +151,8 @@
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
     lease_.reset();
+    // For a lease end of the old clock, in a call that was under way, the new process grants the longest lease.
+    lease_.assumeExtendedTo(now + timing_.longestLease);
     lastEndSeen_ = 0;
     lastEndAcknowledged_ = 0;
     acceptedFence_ = 0;
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -203,3 +203,39 @@
     supervisor.handleAnnouncement(draining, Start + Milliseconds(1500));
     CHECK_FALSE(supervisor.freeCapacity().takesRuns);
 }
+
+// Guards against a second run of a task: a call that was under way at the restart carries a lease end of the old clock,
+// for which the new process grants the longest lease.
+TEST_CASE("Runs of a restarted worker are not taken for ended while an earlier call may have extended their lease")
+{
+    constexpr Milliseconds Restart{310};
+    constexpr Milliseconds LongestLease{1020}; // 1,000 ms on a clock that is 2% slow.
+    constexpr Milliseconds StopTime{50};
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1), Start);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Restart);
+    const OutputByKind restarted(supervisor.takeOutput());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Restart + Milliseconds(2));
+    supervisor.takeOutput();
+    const MonotonicTime started = Start + Restart + Milliseconds(5);
+    fixture.proveEntryAlive(started);
+    RunRequest request = runRequest("after", 2);
+    request.startDeadline = started + Milliseconds(25);
+    supervisor.requestRun(request, started);
+    OutputByKind output(supervisor.takeOutput());
+    REQUIRE(output.starts.size() == 1);
+    supervisor.handleReply(accepted(output.starts[0].callId), started);
+    std::optional<MonotonicTime> endedAt;
+    for (MonotonicTime now = started; !endedAt && now < started + Milliseconds(3000); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        for (const PollRuns &each : output.polls) {
+            supervisor.handleReply(unanswered(each.callId), now);
+        }
+        supervisor.tick(now);
+        output = OutputByKind(supervisor.takeOutput());
+        endedAt = output.ends.empty() ? endedAt : now;
+    }
+    REQUIRE(endedAt);
+    CHECK(*endedAt >= Start + Restart + LongestLease + StopTime);
+}
