--- /dev/null
+++ b/misc/soak_deployment.py
@@ -0,0 +1,228 @@
+"""A deployment of the real programs on loopback, and the links and clients of it that a test can disturb."""
+import asyncio
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+ENTRIES, WORKERS = 3, 5
+MAX_PROXIES = 6  # Agents connect directly to further entries: one process forwards the data of all proxies.
+MAX_SEEDS = 6
+ENTRY_PORTS = ("http", "ready", "metrics", "link", "proxy")
+WORKER_PORTS = ("agent_http", "agent_metrics", "worker")
+DOMAINS = ("north", "east", "south", "west")
+WORKER_CPU_MILLIS = 32000
+WORKER_DOWNTIME_S = 2
+LATE_MS = (2500, 100, 300, 800, 1500)  # Delays of late starts, by worker.
+BUILD = os.environ.get("BUILD", "build/release")
+CRASH_SIGNALS = (signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGILL, signal.SIGFPE)
+
+
+class Proxy:
+    """Forwards connections to one entry and applies link faults to them."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target, self.connections = listen, target, set()
+        self.blocked_until = {"up": 0.0, "down": 0.0}  # Also for connections yet to come.
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.listen)
+
+    async def accept(self, reader, writer):
+        try:
+            upstream_reader, upstream_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            writer.close()
+            return
+        connection = {"up": 0.0, "down": 0.0, "delay": 0.0, "writers": (writer, upstream_writer)}
+        self.connections.add(id(connection))
+        CONNECTIONS[id(connection)] = (self, connection)
+        try:
+            await asyncio.gather(self.pump(connection, "up", reader, upstream_writer),
+                                 self.pump(connection, "down", upstream_reader, writer))
+        except asyncio.CancelledError:
+            pass  # Cancelled at the end of the run.
+        CONNECTIONS.pop(id(connection), None)
+
+    async def pump(self, connection, direction, reader, writer):
+        try:
+            while data := await reader.read(65536):
+                # Blocked data is delayed, not dropped.
+                while time.monotonic() < max(connection[direction], self.blocked_until[direction]):
+                    await asyncio.sleep(0.01)
+                if connection["delay"]:
+                    await asyncio.sleep(connection["delay"])
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+CONNECTIONS = {}
+
+
+@dataclass(frozen=True)
+class Settings:
+    """Size of a deployment, and the faults that options add."""
+    entries: int = ENTRIES
+    workers: int = WORKERS
+    cpu_millis: int = WORKER_CPU_MILLIS  # Capacity of a worker.
+    domains: int = 1
+    load: float = 1.0  # Factor of the rate of jobs.
+    busy: int = 0  # Processes that only use processor time.
+    late_every: int = 0  # One in so many starts stays unanswered and is executed late; 0 for none.
+    reset_share: float = 0.0
+    long_share: float = 0.0
+    resubmit_expired: bool = False
+    group_faults: bool = False
+
+
+class Deployment:
+    def __init__(self, work, base, rng, settings=Settings()):
+        self.work, self.base, self.rng, self.settings = work, base, rng, settings
+        self.entry_slots, self.worker_slots = max(10, settings.entries), max(20, settings.workers)
+        self.processes = {}
+        self.crashed = set()
+        self.store = base
+        self.link_port_kind = "proxy"  # Agents connect to the entries through the proxies.
+
+    def port(self, kind, index):
+        if kind in ENTRY_PORTS:
+            return self.base + self.entry_slots * (1 + ENTRY_PORTS.index(kind)) + index
+        return self.base + self.entry_slots * 10 + self.worker_slots * WORKER_PORTS.index(kind) + index
+
+    def link_address(self, index):
+        return self.address(self.link_port_kind if index < MAX_PROXIES else "link", index)
+
+    def domain(self, index):
+        return DOMAINS[index % self.settings.domains]
+
+    def address(self, kind, index):
+        return f"127.0.0.1:{self.port(kind, index)}"
+
+    def start(self, name, *command):
+        self.record_crash(name)
+        log = open(f"{self.work}/{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def record_crash(self, name):
+        process = self.processes.get(name)
+        if process and process.poll() in [-number for number in CRASH_SIGNALS]:
+            self.crashed.add(name)
+
+    def start_by_name(self, name):
+        # A name is a kind of five letters, followed by an index except for the store.
+        index = int(name[5:]) if name[5:].isdigit() else 0
+        seeds = ",".join(self.link_address(i) for i in range(min(self.settings.entries, MAX_SEEDS)))
+        if name == "store":
+            self.start(name, f"{BUILD}/standins/marjoramferry-standin", "store", "--listen", f"127.0.0.1:{self.store}")
+            return
+        if name.startswith("workr"):
+            self.start(name, f"{BUILD}/standins/marjoramferry-standin", "worker", "--name", f"w-{index}", "--listen",
+                       self.address("worker", index), "--agent", self.address("agent_http", index), "--cpu-millis",
+                       str(self.settings.cpu_millis), "--start-log", f"{self.work}/runs{index}.log", "--domain",
+                       self.domain(index), "--late-every", str(self.settings.late_every), "--late-ms",
+                       str(LATE_MS[index % len(LATE_MS)]))
+            return
+        ini = f"{self.work}/{name}.ini"
+        common = f"name = {name}\ndomain = {self.domain(index)}\nlog_level = info\n"
+        tail = f"seeds = {seeds}\n[platform]\nstore = 127.0.0.1:{self.store}\n"
+        with open(ini, "w") as out:
+            if name.startswith("entry"):
+                out.write(f"[process]\nrole = work-entry\n{common}[work_entry]\nhttp_listen = {self.address('http', index)}\n"
+                          f"readiness_listen = {self.address('ready', index)}\n"
+                          f"metrics_listen = {self.address('metrics', index)}\n"
+                          f"link_listen = {self.address('link', index)}\n"
+                          f"link_address = {self.link_address(index)}\n" + tail)
+            else:
+                out.write(f"[process]\nrole = work-agent\n{common}[work_agent]\nhttp_listen = {self.address('agent_http', index)}\n"
+                          f"metrics_listen = {self.address('agent_metrics', index)}\n" + tail)
+        self.start(name, f"{BUILD}/programs/marjoramferryd", "--config", ini)
+
+    def signal(self, name, signal_number):
+        process = self.processes.get(name)
+        if process and process.poll() is None:
+            process.send_signal(signal_number)
+
+    async def restart_after_exit(self, name, process):
+        """Restarts a process once it has exited, unless another fault has restarted it."""
+        while process.poll() is None:
+            await asyncio.sleep(0.02)
+        if self.processes[name] is process:
+            self.start_by_name(name)
+
+    async def pause(self, name, duration):
+        self.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(duration)
+        self.signal(name, signal.SIGCONT)
+
+    async def restart(self, name, signal_number, duration):
+        process = self.processes[name]
+        self.signal(name, signal_number)
+        await asyncio.sleep(duration)
+        await self.restart_after_exit(name, process)
+
+    async def restart_crashed(self, name):
+        """Restarts a worker some time after each of its ends."""
+        while True:
+            if self.processes[name].poll() is not None:
+                await asyncio.sleep(WORKER_DOWNTIME_S)
+                self.start_by_name(name)
+            await asyncio.sleep(0.02)
+
+    def start_busy_processes(self):
+        for i in range(self.settings.busy):
+            self.start(f"busyp{i}", sys.executable, "-c", "while True: pass")
+
+    def stop_busy_processes(self):
+        for name, process in self.processes.items():
+            if name.startswith("busyp"):
+                process.kill()
+
+    def kill_all(self):
+        for name, process in self.processes.items():
+            self.record_crash(name)
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def end(self):
+        self.kill_all()
+        os._exit(1)
+
+
+async def http(port, method, path, body=None, headers=(), timeout=5.0, resets=False):
+    """Sends one request; returns (status, body), or None without a complete response.
+
+    A call without a response is reset at its timeout, or else closed."""
+    async def send_request():
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        try:
+            text = body if isinstance(body, str) else json.dumps(body) if body is not None else ""
+            data = text.encode()
+            header_lines = [f"{method} {path} HTTP/1.1", "Connection: close", f"Content-Length: {len(data)}", *headers]
+            writer.write("\r\n".join(header_lines).encode() + b"\r\n\r\n" + data)
+            await writer.drain()
+            response = await reader.read(-1)
+        finally:
+            writer.close()
+        head, _, content = response.partition(b"\r\n\r\n")
+        if b" " not in head:
+            return None
+        return int(head.split(b" ")[1]), content
+    try:
+        return await asyncio.wait_for(send_request(), timeout)
+    except (OSError, asyncio.TimeoutError, ValueError, asyncio.IncompleteReadError):
+        return None
