--- a/tests/support/work_simulation_passes.cpp
+++ b/tests/support/work_simulation_passes.cpp
@@ -253,11 +253,8 @@
     if (!options_.recordsLog) {
         return;
     }
-    std::string line = absl::StrCat(std::chrono::duration_cast<Microseconds>(now_.time_since_epoch()).count() / 1000.0,
-                                    " ",
-                                    process,
-                                    " ",
-                                    event.event);
+    const std::chrono::duration<double, std::milli> time = now_.time_since_epoch();
+    std::string line = absl::StrCat(time.count(), " ", process, " ", event.event);
     for (const LogField &field : event.fields) {
         absl::StrAppend(&line, " ", field.key, "=", field.value);
     }
