Agent: take the worker's clock only from replies of its present process

Found by looking through what a lease depends on.

Cause: the clock of every reply was taken for the worker's, also of a reply to a call that an earlier process had received, and of a 421 of another process. If that clock was ahead, each later call asked for a lease on it, and the worker granted its longest lease from the arrival of the call, instead of one that ends 1,225 ms after the last proof that the entry is alive. Readings of the worker's own clock were then ignored as older. An agent that stood still left its runs alive beyond the 1,300 ms after which their jobs are sent to another entry. In the same way, a delayed listing of another worker that had started later was taken for a restart of the present one.

Change: a reply counts if it names the present process, or answers a call sent since that process is known.

Evidence: the test failed before, with a requested lease end of 501,147 instead of at most 1,721 on the worker's clock, for a delayed reply to a start and for a 421.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -227,7 +227,7 @@
     const int64_t startTimeMs = reply.listing ? reply.listing->startTimeMs : 0;
     const bool isOtherProcess = worker_ && startTimeMs != 0 && worker_->identity.startTimeMs != 0
         && startTimeMs != worker_->identity.startTimeMs;
-    if (isOtherProcess && startTimeMs < worker_->identity.startTimeMs) {
+    if (isOtherProcess && (startTimeMs < worker_->identity.startTimeMs || reply.callId <= lastCallBeforeProcess_)) {
         pendingPolls_.erase(reply.callId);
         sendPollIfNeeded(now);
         return;
@@ -237,11 +237,9 @@
             = candidate_ && candidate_->announcement().identity == WorkerIdentity{worker_->identity.id, startTimeMs};
         handleRestart(startTimeMs, wasAnnounced ? candidate_->since() : now, now);
     }
-    if (reply.clockMs) {
+    if (reply.clockMs && isClockOfWorker(reply)) {
         lease_.observeClock(*reply.clockMs, now);
-        if (worker_) {
-            worker_->clockMs = std::min(worker_->clockMs, *reply.clockMs);
-        }
+        worker_->clockMs = std::min(worker_->clockMs, *reply.clockMs);
     }
     crashEvidence_.recordReply(reply, lastCallId_, now);
     if (const auto status = crashEvidence_.statusOnRefusal(reply); status && worker_) {
@@ -264,6 +262,17 @@
     sendPollIfNeeded(now);
 }
 
+/** A reply to an earlier call, or to a call for another worker, may carry the clock of another process. */
+bool WorkerSupervisor::isClockOfWorker(const WorkerReply &reply) const
+{
+    if (!worker_ || reply.rejection == Rejection::OtherIncarnation) {
+        return false;
+    }
+    const bool namesProcess = reply.listing && reply.listing->startTimeMs != 0
+        && reply.listing->startTimeMs == worker_->identity.startTimeMs;
+    return namesProcess || reply.callId > lastCallBeforeProcess_;
+}
+
 void WorkerSupervisor::onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now)
 {
     const auto found = runs_.find(key);
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -151,6 +151,7 @@
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
     lease_.reset();
+    lastCallBeforeProcess_ = lastCallId_;
     // For a lease end of the old clock, in a call that was under way, the new process grants the longest lease.
     lease_.assumeExtendedTo(now + timing_.longestLease);
     lastEndSeen_ = 0;
@@ -180,6 +181,7 @@
     crashEvidence_.beginProcess(worker_->identity, lastCallId_);
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
+    lastCallBeforeProcess_ = lastCallId_;
     lease_.reset(); // The announced clock is not used until a reply of the process has confirmed it.
     lastEndSeen_ = 0;
     lastEndAcknowledged_ = 0;
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -19,6 +19,14 @@
     return result;
 }
 
+/** An accepted poll of a process without runs, whose clock shows @p clockMs. */
+WorkerReply listedAt(int64_t clockMs, int64_t callId, int64_t startTimeMs)
+{
+    WorkerReply result = listed(callId, {}, {}, startTimeMs);
+    result.clockMs = clockMs;
+    return result;
+}
+
 } // namespace
 
 // Guards against tasks that run twice: their runs were reported as gone on the word of an announcement, and started
@@ -239,3 +247,37 @@
     REQUIRE(endedAt);
     CHECK(*endedAt >= Start + Restart + LongestLease + StopTime);
 }
+
+// Guards against leases that the worker ends later than the agent takes for certain: a reply of an earlier process,
+// whose clock was ahead, arrived after the restart, and each later call asked for a lease on that clock.
+TEST_CASE("A delayed reply of an earlier process of the worker, or of another one, extends no lease")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    supervisor.requestRun(runRequest("a", 1), Start);
+    const OutputByKind before(supervisor.takeOutput());
+    REQUIRE(before.starts.size() == 1);
+
+    const MonotonicTime restarted = Start + Milliseconds(30);
+    supervisor.handleAnnouncement(announcement(1, 8), restarted);
+    const OutputByKind asked(supervisor.takeOutput());
+    REQUIRE(!asked.polls.empty());
+    supervisor.handleReply(listedAt(20, asked.polls.back().callId, 8), restarted);
+    const OutputByKind fenced(supervisor.takeOutput());
+    REQUIRE(!fenced.polls.empty());
+    supervisor.handleReply(listedAt(21, fenced.polls.back().callId, 8), restarted + Milliseconds(1));
+    supervisor.takeOutput();
+
+    WorkerReply delayed = GENERATE(true, false) ? accepted(before.starts[0].callId)
+                                                : rejected(fenced.polls.back().callId + 1, Rejection::OtherIncarnation);
+    delayed.clockMs = 500'000;
+    supervisor.handleReply(delayed, restarted + Milliseconds(2));
+    supervisor.takeOutput();
+
+    const MonotonicTime started = restarted + Milliseconds(1100);
+    fixture.proveEntryAlive(started);
+    supervisor.requestRun(runRequest("b", 2), started);
+    const OutputByKind after(supervisor.takeOutput());
+    REQUIRE(after.starts.size() == 1);
+    CHECK(after.starts[0].leaseEndMs <= 21 + 1100 + 600);
+}
