Entry: what a restarted agent says of another worker tells nothing about its earlier runs

Cause: an agent reports `cleared` once its present worker lists no unknown run. If it has restarted and another worker has announced itself first, the runs of its earlier incarnation may go on at the former worker until their lease ends, but the entry took them for lost and started their tasks elsewhere.

Change: the entry keeps the workers of the earlier incarnations. `cleared` counts if the agent's worker is the only one of them, or once the session time-out has passed since the last message of an earlier incarnation, when no lease is left.

Evidence: the test failed before; the runs were lost at the first message that reported `cleared`.

--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -76,6 +76,10 @@
         view.incarnation = batch.incarnation;
         view.hasClearedRuns = false;
         view.mayHaveEarlierRuns = view.mayHaveRuns();
+        if (view.mayHaveEarlierRuns) {
+            view.earlierWorkers.insert(view.lastWorker);
+            view.earlierRunsEndAt = view.lastMessageAt + options_.sessionTimeout;
+        }
         beginSession(view);
         if (view.mayHaveEarlierRuns) {
             activate(view);
@@ -113,9 +117,12 @@
     if (batch.room.takesRuns) {
         view.tookRunsAt = now;
     }
-    if (batch.cleared && !view.hasClearedRuns) {
+    // What the agent says of its present worker tells nothing about runs on another one.
+    const bool isAboutEarlierRuns
+        = !view.mayHaveEarlierRuns || view.hasWorkerOfEarlierRuns() || now > view.earlierRunsEndAt;
+    if (batch.cleared && !view.hasClearedRuns && isAboutEarlierRuns) {
         view.hasClearedRuns = true;
-        view.mayHaveEarlierRuns = false;
+        forgetEarlierRuns(view);
         update.firstLiveSession = view.session;
     }
     if (batch.entryIncarnation == incarnation_ && batch.session == view.session) {
@@ -133,6 +140,12 @@
     return update;
 }
 
+void WorkerDirectory::forgetEarlierRuns(WorkerView &view)
+{
+    view.mayHaveEarlierRuns = false;
+    view.earlierWorkers.clear();
+}
+
 void WorkerDirectory::beginSession(WorkerView &view)
 {
     view.session = ++lastSession_;
@@ -301,7 +314,7 @@
         if (!view.mayHaveRuns() || now - view.lastMessageAt <= options_.sessionTimeout) {
             continue;
         }
-        view.mayHaveEarlierRuns = false;
+        forgetEarlierRuns(view);
         beginSession(view);
         updateAvailable(view, now);
         out_.log(LogEvent::Level::Warning,
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -81,6 +81,8 @@
     int openRuns = 0; ///< Runs ordered in this session whose end was not received.
     /** Runs of a session with an earlier incarnation of the agent may be left until the agent has cleared them. */
     bool mayHaveEarlierRuns = false;
+    std::set<std::string> earlierWorkers; ///< The workers with which the earlier incarnations had these runs.
+    MonotonicTime earlierRunsEndAt; ///< None of these runs is left on any worker after this.
     bool wasUnusable = false;
     /** Sort key of the most urgent waiting task that the agent knows of; the maximum if it knows of none. */
     MonotonicTime headSortKeySent = MonotonicTime::max();
@@ -90,6 +92,12 @@
     {
         return openRuns > 0 || !instructions.isEmpty() || mayHaveEarlierRuns;
     }
+
+    /** Whether the agent's present worker is the one with the runs of its earlier incarnations. */
+    bool hasWorkerOfEarlierRuns() const
+    {
+        return earlierWorkers.size() == 1 && *earlierWorkers.begin() == state.worker;
+    }
 };
 
 /** Content of an agent's message beyond the state of its worker. */
@@ -179,6 +187,7 @@
     }
 
 private:
+    static void forgetEarlierRuns(WorkerView &view);
     void beginSession(WorkerView &view);
     void updateAvailable(WorkerView &view, MonotonicTime now);
     void recordOvercommittedEnds(WorkerView &view, const std::vector<wire::RunEnd> &ends);
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -198,6 +198,30 @@
     CHECK(fixture.directory.activeViews().size() == 1);
 }
 
+// Guards against a second run of a task: an agent that restarted was told of another worker first, and what it had
+// cleared there counted for the worker on which its earlier incarnation's runs went on under their lease.
+TEST_CASE("Runs of an agent that restarted are not lost on the word of another worker before their lease has ended")
+{
+    TwoAgents fixture;
+    fixture.orderRunOnOther(Start);
+    wire::AgentBatch restarted = fixture.batchOf(fixture.other, 1);
+    restarted.incarnation = fixture.other + "-2";
+    restarted.session = 0;
+    restarted.worker.worker = "successor";
+    const LinkId link = fixture.other[0];
+    CHECK_FALSE(fixture.directory.handleBatch(link, restarted, Start + Milliseconds(100))->firstLiveSession);
+    restarted.incarnation = fixture.other + "-3"; // Its predecessor had runs on neither, but may have had some.
+    CHECK_FALSE(fixture.directory.handleBatch(link, restarted, Start + Milliseconds(200))->firstLiveSession);
+
+    // The predecessor's last message came 100 ms after the start.
+    const MonotonicTime lastEnd = Start + Milliseconds(100) + WorkerDirectoryOptions().sessionTimeout;
+    restarted.sentAtUs = 2;
+    CHECK_FALSE(fixture.directory.handleBatch(link, restarted, lastEnd)->firstLiveSession);
+    restarted.sentAtUs = 3;
+    const auto update = fixture.directory.handleBatch(link, restarted, lastEnd + Milliseconds(1));
+    CHECK(update->firstLiveSession == fixture.viewOf(fixture.other).session);
+}
+
 TEST_CASE(
     "Runs of an agent that restarted and then fell silent before it cleared them are lost after the session time-out")
 {
