Test: a delayed message of an earlier incarnation of an agent

Incarnations have random names and no order. An entry takes each name that it has not seen for the successor, and its first `cleared` for the end of all runs of the one before.

--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -272,6 +272,28 @@
     CHECK(directory.views().at("agent").link == 2);
 }
 
+// Guards against two runs of a task: those at a live agent were taken for ended on the word of an earlier incarnation,
+// whose only message to this entry was delayed until the next incarnation had connected.
+TEST_CASE("A delayed first message of an incarnation that has ended ends no runs and hides no later message")
+{
+    WorkerDirectory directory("entry", "entry-1", WorkerDirectoryOptions{});
+    REQUIRE(directory.handleBatch(1, batchFrom("second", 20), Start));
+    const int64_t session = directory.views().at("agent").session;
+    wire::AgentBatch answer = batchFrom("second", 30);
+    answer.entryIncarnation = "entry-1";
+    answer.session = session;
+    REQUIRE(directory.handleBatch(1, answer, Start));
+    directory.updateActivity(OperatorStateCache(), Start);
+    REQUIRE(directory.activeViews().size() == 1);
+    directory.orderRun(*directory.activeViews().front(), wire::RunOrder(), Start);
+
+    const auto delayed = directory.handleBatch(2, batchFrom("first", 10), Start + Milliseconds(50));
+    CHECK_FALSE((delayed && delayed->firstLiveSession));
+    answer.sentAtUs = 40;
+    CHECK(directory.handleBatch(1, answer, Start + Milliseconds(100)));
+    CHECK(directory.views().at("agent").session == session);
+}
+
 TEST_CASE("A run end is acknowledged with the next message, but at once to an agent that leaves")
 {
     WorkerDirectory directory("entry", "entry-1", WorkerDirectoryOptions{});
