--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -288,6 +288,28 @@
     CHECK(late.ends[0].outcome == wire::RunOutcome::GONE);
 }
 
+// Guards against two runs of a task: a start sent shortly before an idle worker counted as lost was reported as gone.
+TEST_CASE("A start on a worker without announcements is not gone before its lease must have expired")
+{
+    constexpr Milliseconds Sent{3950};
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const int64_t clockAtStart = accepted(0).clockMs.value();
+    fixture.proveEntryAlive(Start + Sent);
+    RunRequest request = runRequest("a", 1);
+    request.startDeadline = Start + Sent + Milliseconds(250);
+    supervisor.requestRun(request, Start + Sent);
+    const OutputByKind sent(supervisor.takeOutput());
+    REQUIRE(sent.starts.size() == 1);
+    std::optional<MonotonicTime> endedAt;
+    for (MonotonicTime now = Start + Sent; !endedAt && now < Start + Milliseconds(6000); now += Milliseconds(20)) {
+        supervisor.tick(now);
+        endedAt = supervisor.takeOutput().ends.empty() ? endedAt : now;
+    }
+    REQUIRE(endedAt);
+    CHECK(millisecondsBetween(Start, *endedAt) >= sent.starts[0].leaseEndMs - clockAtStart);
+}
+
 TEST_CASE("A start rejected for an old attempt is retried with a higher attempt runNumber")
 {
     ReconciledSupervisor fixture;
