Test: a worker that restarts after its clock was set back

The replies of one that starts after the clock was set back are dropped as those of an earlier process.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -239,3 +239,27 @@
     REQUIRE(endedAt);
     CHECK(*endedAt >= Start + Restart + LongestLease + StopTime);
 }
+
+// Guards against two runs of a task: the replies of a process that was started after the wall clock was set back were
+// taken for those of an earlier one, and its runs for gone while their lease was renewed.
+TEST_CASE("Runs of a restarted worker that reports an earlier start time are kept as long as it lists them")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
+    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(50));
+    OutputByKind output(supervisor.takeOutput());
+    REQUIRE(output.starts.size() == 1);
+    supervisor.handleReply(accepted(output.starts[0].callId), Start + Milliseconds(51));
+    int64_t sequence = 0;
+    for (MonotonicTime now = Start + Milliseconds(60); now < Start + Milliseconds(6000); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.handleAnnouncement(announcement(++sequence, 6), now);
+        supervisor.tick(now);
+        output = OutputByKind(supervisor.takeOutput());
+        CHECK(std::ranges::count(output.ends, 2, [](const EndedRun &end) { return end.orderId.runNumber; }) == 0);
+        for (const PollRuns &poll : output.polls) {
+            supervisor.handleReply(listed(poll.callId, {{"after", 0, 0, 1}}, {}, 6), now);
+        }
+    }
+}
