Test: the lease beside a run that the agent does not know

The lease is limited by the runs that the agent knows. A run that it doesn't know is renewed with them as long as its stop is carried out late.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -263,3 +263,27 @@
         }
     }
 }
+
+// Guards against two runs of a task: the lease of a run that isn't the agent's own was renewed with that of the others
+// while its stop was carried out late.
+TEST_CASE("No lease is renewed while a run that the agent does not know is on the worker")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const std::vector<RunKey> both = {{"a", 0, 0, 1}, {"unknown", 0, 0, 1}};
+    PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
+    const int64_t leaseEndMs = poll.leaseEndMs.value();
+    supervisor.handleReply(listed(poll.callId, both), Start + Milliseconds(2));
+    for (MonotonicTime now = Start + Milliseconds(2); now < Start + Milliseconds(1500); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.tick(now);
+        const OutputByKind output(supervisor.takeOutput());
+        for (const StopRun &each : output.stops) {
+            supervisor.handleReply(unanswered(each.callId), now);
+        }
+        for (const PollRuns &each : output.polls) {
+            CHECK(each.leaseEndMs.value_or(0) <= leaseEndMs);
+            supervisor.handleReply(listed(each.callId, both), now);
+        }
+    }
+}
