Test: a start that was sent twice before its worker restarted

A confirmed run that a listing lacks is taken for ended, whatever the fence of the call. After a restart an unanswered first copy of its start can still reach the new process.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -287,3 +287,29 @@
         }
     }
 }
+
+// Guards against two runs of a task: the first copy of its start may reach the new process until that one has accepted
+// a higher fence, although the run was confirmed by the process of before.
+TEST_CASE("A run whose start was sent twice is gone after a restart only once the new process has accepted a fence")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    supervisor.requestRun(runRequest("a", 1), Start);
+    const OutputByKind first(supervisor.takeOutput());
+    supervisor.handleReply(unanswered(first.starts.at(0).callId), Start + Milliseconds(20));
+    const OutputByKind second(supervisor.takeOutput());
+    supervisor.handleReply(accepted(second.starts.at(0).callId), Start + Milliseconds(22));
+    supervisor.takeOutput();
+    supervisor.tick(Start + Milliseconds(80));
+    const OutputByKind later(supervisor.takeOutput());
+    REQUIRE(later.polls.size() == 1);
+    CHECK(later.polls[0].fence == FirstFence);
+
+    supervisor.handleReply(listed(later.polls[0].callId, {}, {}, 8), Start + Milliseconds(90));
+    const OutputByKind restarted(supervisor.takeOutput());
+    CHECK(restarted.ends.empty());
+    REQUIRE_FALSE(restarted.polls.empty());
+    CHECK(restarted.polls.back().fence > FirstFence);
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Milliseconds(95));
+    CHECK(OutputByKind(supervisor.takeOutput()).ends.size() == 1);
+}
