Test: the longest lease after a restart that is fenced late

The longest lease is assumed from the detection of the restart. A call of before can extend the lease until the new process has accepted a higher fence.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -313,3 +313,38 @@
     supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Milliseconds(95));
     CHECK(OutputByKind(supervisor.takeOutput()).ends.size() == 1);
 }
+
+// Guards against two runs of a task: a delayed call with a lease end of the old clock can extend the lease until the
+// new process has accepted a higher fence, not only until its restart was detected.
+TEST_CASE("Runs of a restarted worker are not taken for ended before a lease granted until the fence has expired")
+{
+    constexpr Milliseconds Detected{310};
+    constexpr Milliseconds Accepted{810};
+    constexpr Milliseconds LongestLease{1020}; // 1,000 ms on a clock that is 2% slow.
+    constexpr Milliseconds StopTime{50};
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1), Start);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Detected);
+    const OutputByKind restarted(supervisor.takeOutput());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Accepted);
+    supervisor.takeOutput();
+    std::optional<MonotonicTime> endedAt;
+    RunRequest request = runRequest("after", 2);
+    request.startDeadline = Start + Milliseconds(4000);
+    supervisor.requestRun(request, Start + Accepted);
+    for (MonotonicTime now = Start + Accepted; !endedAt && now < Start + Milliseconds(4000); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.tick(now);
+        const OutputByKind output(supervisor.takeOutput());
+        for (const StartRun &each : output.starts) {
+            supervisor.handleReply(accepted(each.callId), now);
+        }
+        for (const PollRuns &each : output.polls) {
+            supervisor.handleReply(unanswered(each.callId), now);
+        }
+        endedAt = output.ends.empty() ? endedAt : now;
+    }
+    REQUIRE(endedAt);
+    CHECK(millisecondsBetween(Start, *endedAt) >= (Accepted + LongestLease + StopTime).count());
+}
