Test: a listing that a newer one has overtaken

Whether the worker is reconciled depends on the highest fence that it has accepted, not on that of the call whose listing is read.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -348,3 +348,22 @@
     REQUIRE(endedAt);
     CHECK(millisecondsBetween(Start, *endedAt) >= (Accepted + LongestLease + StopTime).count());
 }
+
+// Guards against starts beyond the capacity: a listing that was overtaken by a newer one said that no unknown run is
+// left.
+TEST_CASE("A listing under an earlier fence does not show that the worker has no unknown runs")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
+    supervisor.tick(Start + Milliseconds(60));
+    const OutputByKind second(supervisor.takeOutput());
+    REQUIRE(second.polls.size() == 1);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Milliseconds(70));
+    const OutputByKind restarted(supervisor.takeOutput());
+    REQUIRE_FALSE(restarted.polls.empty());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {{"late", 0, 0, 1}}, {}, 8), Start + Milliseconds(75));
+    REQUIRE_FALSE(supervisor.isReconciled());
+    supervisor.handleReply(listed(second.polls[0].callId, {}, {}, 8), Start + Milliseconds(76));
+    CHECK_FALSE(supervisor.isReconciled());
+}
