Test: a late answer for the worker that was replaced

Replies are not compared with the worker that their call was sent to, and the calls for starts outlast a change of the worker that the answer to a stop has confirmed.

--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -367,3 +367,38 @@
     supervisor.handleReply(listed(second.polls[0].callId, {}, {}, 8), Start + Milliseconds(76));
     CHECK_FALSE(supervisor.isReconciled());
 }
+
+// Guards against two runs of a task: the answer to a call to the worker of before ended the runs on its successor.
+TEST_CASE("A late answer for the worker of before ends no run on its successor")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    fixture.startAndConfirm(runRequest("a", 1, 4000), Start);
+    WorkerAnnouncement next = announcement(1, 8);
+    next.identity.id = "worker-2";
+    supervisor.handleAnnouncement(next, Start + Milliseconds(10));
+    supervisor.takeOutput();
+    supervisor.requestRun(runRequest("b", 2, 4000), Start + Milliseconds(11));
+    const OutputByKind started(supervisor.takeOutput());
+    REQUIRE(started.starts.size() == 1);
+    supervisor.withdrawRun({"entry-1", 1, 1}, Start + Milliseconds(12));
+    const OutputByKind stopping(supervisor.takeOutput());
+    REQUIRE(stopping.stops.size() == 1);
+    // The answer to the stop overtakes those to the poll and the start.
+    supervisor.handleReply(rejected(stopping.stops[0].callId, Rejection::OtherIncarnation), Start + Milliseconds(14));
+    const OutputByKind adopted(supervisor.takeOutput());
+    REQUIRE(supervisor.state().worker == "worker-2");
+    REQUIRE_FALSE(adopted.polls.empty());
+    supervisor.handleReply(listed(adopted.polls.back().callId, {}, {}, 8), Start + Milliseconds(16));
+    supervisor.takeOutput();
+    supervisor.requestRun(runRequest("c", 3, 4000), Start + Milliseconds(17));
+    const OutputByKind onSuccessor(supervisor.takeOutput());
+    REQUIRE(onSuccessor.starts.size() == 1);
+    CHECK(onSuccessor.starts[0].target.id == "worker-2");
+    supervisor.handleReply(accepted(onSuccessor.starts[0].callId), Start + Milliseconds(18));
+    supervisor.takeOutput();
+
+    supervisor.handleReply(rejected(started.starts[0].callId, Rejection::OtherIncarnation), Start + Milliseconds(20));
+    const OutputByKind after(supervisor.takeOutput());
+    CHECK(std::ranges::count(after.ends, 3, [](const EndedRun &end) { return end.orderId.runNumber; }) == 0);
+}
