--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -281,3 +281,166 @@
     REQUIRE(after.starts.size() == 1);
     CHECK(after.starts[0].leaseEndMs <= 21 + 1100 + 600);
 }
+
+// Guards against two runs of a task: the replies of a process that was started after the wall clock was set back were
+// taken for those of an earlier one, and its runs for gone while their lease was renewed.
+TEST_CASE("Runs of a restarted worker that reports an earlier start time are kept as long as it lists them")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
+    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(50));
+    OutputByKind output(supervisor.takeOutput());
+    REQUIRE(output.starts.size() == 1);
+    supervisor.handleReply(accepted(output.starts[0].callId), Start + Milliseconds(51));
+    int64_t sequence = 0;
+    for (MonotonicTime now = Start + Milliseconds(60); now < Start + Milliseconds(6000); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.handleAnnouncement(announcement(++sequence, 6), now);
+        supervisor.tick(now);
+        output = OutputByKind(supervisor.takeOutput());
+        CHECK(std::ranges::count(output.ends, 2, [](const EndedRun &end) { return end.orderId.runNumber; }) == 0);
+        for (const PollRuns &poll : output.polls) {
+            supervisor.handleReply(listed(poll.callId, {{"after", 0, 0, 1}}, {}, 6), now);
+        }
+    }
+}
+
+// Guards against two runs of a task: the lease of a run that isn't the agent's own was renewed with that of the others
+// while its stop was carried out late.
+TEST_CASE("No lease is renewed while a run that the agent does not know is on the worker")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const std::vector<RunKey> both = {{"a", 0, 0, 1}, {"unknown", 0, 0, 1}};
+    PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
+    const int64_t leaseEndMs = poll.leaseEndMs.value();
+    supervisor.handleReply(listed(poll.callId, both), Start + Milliseconds(2));
+    for (MonotonicTime now = Start + Milliseconds(2); now < Start + Milliseconds(1500); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.tick(now);
+        const OutputByKind output(supervisor.takeOutput());
+        for (const StopRun &each : output.stops) {
+            supervisor.handleReply(unanswered(each.callId), now);
+        }
+        for (const PollRuns &each : output.polls) {
+            CHECK(each.leaseEndMs.value_or(0) <= leaseEndMs);
+            supervisor.handleReply(listed(each.callId, both), now);
+        }
+    }
+}
+
+// Guards against two runs of a task: the first copy of its start may reach the new process until that one has accepted
+// a higher fence, although the run was confirmed by the process of before.
+TEST_CASE("A run whose start was sent twice is gone after a restart only once the new process has accepted a fence")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    supervisor.requestRun(runRequest("a", 1), Start);
+    const OutputByKind first(supervisor.takeOutput());
+    supervisor.handleReply(unanswered(first.starts.at(0).callId), Start + Milliseconds(20));
+    const OutputByKind second(supervisor.takeOutput());
+    supervisor.handleReply(accepted(second.starts.at(0).callId), Start + Milliseconds(22));
+    supervisor.takeOutput();
+    supervisor.tick(Start + Milliseconds(80));
+    const OutputByKind later(supervisor.takeOutput());
+    REQUIRE(later.polls.size() == 1);
+    CHECK(later.polls[0].fence == FirstFence);
+
+    supervisor.handleReply(listed(later.polls[0].callId, {}, {}, 8), Start + Milliseconds(90));
+    const OutputByKind restarted(supervisor.takeOutput());
+    CHECK(restarted.ends.empty());
+    REQUIRE_FALSE(restarted.polls.empty());
+    CHECK(restarted.polls.back().fence > FirstFence);
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Milliseconds(95));
+    CHECK(OutputByKind(supervisor.takeOutput()).ends.size() == 1);
+}
+
+// Guards against two runs of a task: a delayed call with a lease end of the old clock can extend the lease until the
+// new process has accepted a higher fence, not only until its restart was detected.
+TEST_CASE("Runs of a restarted worker are not taken for ended before a lease granted until the fence has expired")
+{
+    constexpr Milliseconds Detected{310};
+    constexpr Milliseconds Accepted{810};
+    constexpr Milliseconds LongestLease{1020}; // 1,000 ms on a clock that is 2% slow.
+    constexpr Milliseconds StopTime{50};
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1), Start);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Detected);
+    const OutputByKind restarted(supervisor.takeOutput());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Accepted);
+    supervisor.takeOutput();
+    std::optional<MonotonicTime> endedAt;
+    RunRequest request = runRequest("after", 2);
+    request.startDeadline = Start + Milliseconds(4000);
+    supervisor.requestRun(request, Start + Accepted);
+    for (MonotonicTime now = Start + Accepted; !endedAt && now < Start + Milliseconds(4000); now += Milliseconds(20)) {
+        fixture.proveEntryAlive(now);
+        supervisor.tick(now);
+        const OutputByKind output(supervisor.takeOutput());
+        for (const StartRun &each : output.starts) {
+            supervisor.handleReply(accepted(each.callId), now);
+        }
+        for (const PollRuns &each : output.polls) {
+            supervisor.handleReply(unanswered(each.callId), now);
+        }
+        endedAt = output.ends.empty() ? endedAt : now;
+    }
+    REQUIRE(endedAt);
+    CHECK(millisecondsBetween(Start, *endedAt) >= (Accepted + LongestLease + StopTime).count());
+}
+
+// Guards against starts beyond the capacity: a listing that was overtaken by a newer one said that no unknown run is
+// left.
+TEST_CASE("A listing under an earlier fence does not show that the worker has no unknown runs")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
+    supervisor.tick(Start + Milliseconds(60));
+    const OutputByKind second(supervisor.takeOutput());
+    REQUIRE(second.polls.size() == 1);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Milliseconds(70));
+    const OutputByKind restarted(supervisor.takeOutput());
+    REQUIRE_FALSE(restarted.polls.empty());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {{"late", 0, 0, 1}}, {}, 8), Start + Milliseconds(75));
+    REQUIRE_FALSE(supervisor.isReconciled());
+    supervisor.handleReply(listed(second.polls[0].callId, {}, {}, 8), Start + Milliseconds(76));
+    CHECK_FALSE(supervisor.isReconciled());
+}
+
+// Guards against two runs of a task: the answer to a call to the worker of before ended the runs on its successor.
+TEST_CASE("A late answer for the worker of before ends no run on its successor")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    fixture.startAndConfirm(runRequest("a", 1, 4000), Start);
+    WorkerAnnouncement next = announcement(1, 8);
+    next.identity.id = "worker-2";
+    supervisor.handleAnnouncement(next, Start + Milliseconds(10));
+    supervisor.takeOutput();
+    supervisor.requestRun(runRequest("b", 2, 4000), Start + Milliseconds(11));
+    const OutputByKind started(supervisor.takeOutput());
+    REQUIRE(started.starts.size() == 1);
+    supervisor.withdrawRun({"entry-1", 1, 1}, Start + Milliseconds(12));
+    const OutputByKind stopping(supervisor.takeOutput());
+    REQUIRE(stopping.stops.size() == 1);
+    // The answer to the stop overtakes those to the poll and the start.
+    supervisor.handleReply(rejected(stopping.stops[0].callId, Rejection::OtherIncarnation), Start + Milliseconds(14));
+    const OutputByKind adopted(supervisor.takeOutput());
+    REQUIRE(supervisor.state().worker == "worker-2");
+    REQUIRE_FALSE(adopted.polls.empty());
+    supervisor.handleReply(listed(adopted.polls.back().callId, {}, {}, 8), Start + Milliseconds(16));
+    supervisor.takeOutput();
+    supervisor.requestRun(runRequest("c", 3, 4000), Start + Milliseconds(17));
+    const OutputByKind onSuccessor(supervisor.takeOutput());
+    REQUIRE(onSuccessor.starts.size() == 1);
+    CHECK(onSuccessor.starts[0].target.id == "worker-2");
+    supervisor.handleReply(accepted(onSuccessor.starts[0].callId), Start + Milliseconds(18));
+    supervisor.takeOutput();
+
+    supervisor.handleReply(rejected(started.starts[0].callId, Rejection::OtherIncarnation), Start + Milliseconds(20));
+    const OutputByKind after(supervisor.takeOutput());
+    CHECK(std::ranges::count(after.ends, 3, [](const EndedRun &end) { return end.orderId.runNumber; }) == 0);
+}
