Agent: a silent worker's runs end with their lease, not when it counts as lost

Found by reading.

Cause: a worker without announcements and replies for 4 s counted as lost, and its runs as gone, whatever their lease. An idle worker isn't polled, so a start may be sent to it just before that time, e.g. while its messages are cut off in one direction. No fence was raised either.

Change: the worker counts as lost once it has no runs or their lease must have expired, and whatever ends all runs raises the fence that the worker has to accept before it counts as reconciled again.

Evidence: the test failed before; a start sent 3,950 ms after the last announcement was gone 60 ms later, 540 ms before the end of its lease.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -78,8 +78,14 @@
     }
 }
 
+/** Ends all runs. The worker executes no start of before once it has accepted the raised fence. */
 void WorkerSupervisor::dropAllRuns(const std::string &reason, MonotonicTime now)
 {
+    if (!runs_.empty()) {
+        raiseFence(fence_ + 1);
+        requiredFence_ = fence_;
+        isReconciled_ = false;
+    }
     while (!runs_.empty()) {
         finishRun(runs_.begin()->first, wire::RunOutcome::GONE, reason, now);
     }
@@ -578,12 +584,11 @@
             reportCrash(wire::CrashStatus::DETECTED, "lease_lapsed", now);
         }
         dropAllRuns(crashEvidence_.isDetected() ? "worker_crashed" : "lease_lapsed", now);
-        raiseFence(fence_ + 1);
-        requiredFence_ = fence_;
-        isReconciled_ = false;
         sendPoll(Milliseconds(0), false, now); // A pending poll carries the fence of before.
     }
-    if (now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout) {
+    const bool isSilent
+        = now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout;
+    if (isSilent && (runs_.empty() || lease_.isExpired(now))) {
         log(LogEvent::Level::Warning, "worker_lost", {{"worker", worker_->identity.id}});
         dropAllRuns("worker_lost", now);
         forgetWorker();
