Agent: after a restart, a run whose start was sent twice ends only under a higher fence

Found by reading.

Cause: a confirmed run that a listing lacks counted as gone. If only the second copy of its start was answered, the first one may still be under way. The process that listed the run refuses it, but one that has started since executes it, until it has accepted a higher fence.

Change: such a run ends with the listing of a call with a higher fence than its start.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -461,7 +461,12 @@
             const bool mayHaveRun = run.unansweredAt && *run.unansweredAt < restartDetectedAt_;
             absent.emplace_back(key, mayHaveRun ? wire::RunOutcome::GONE : wire::RunOutcome::NOT_STARTED);
         } else if (run.isConfirmed && run.confirmedAt < poll.sentAt) {
-            absent.emplace_back(key, wire::RunOutcome::GONE);
+            // An unanswered copy of the start can take effect in a process that has started since.
+            if (run.unansweredAt && !isFencedOff) {
+                raiseFence(run.fence + 1);
+            } else {
+                absent.emplace_back(key, wire::RunOutcome::GONE);
+            }
         }
     }
     for (const auto &[key, outcome] : absent) {
