Agent: renew no lease while the worker lists a run that the agent has not started

Found by reading.

Cause: a worker has one lease for all its runs. A start that the worker carries out late, when the agent has given it up, runs under that lease, and polls for the other runs went on to renew it. If the stop of the unknown run was late too, it ran beside another run of its task for as long.

Change: polls request no later lease end until a listing shows no unknown run.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -172,9 +172,15 @@
     return entryLiveness_.lastEcho(orderId) + timing_.leaseLimit;
 }
 
-/** The worker has one lease for all its runs, so the run that has to end first limits it. */
+/**
+ * The worker has one lease for all its runs, so the run that has to end first limits it. Of an unknown run nobody knows
+ * when that is, so it has to end with the lease that it has.
+ */
 MonotonicTime WorkerSupervisor::latestLeaseEnd() const
 {
+    if (hasUnknownRuns_) {
+        return MonotonicTime();
+    }
     const auto first = std::ranges::min_element(runs_, {}, [](const auto &each) { return each.second.latestLeaseEnd; });
     return first == runs_.end() ? MonotonicTime::max() : first->second.latestLeaseEnd;
 }
@@ -489,6 +495,7 @@
             "unknown_run_stopped",
             {{"run", describe(key)}, {"worker", worker_->identity.id}});
     }
+    hasUnknownRuns_ = unknownRuns > 0;
     const bool wasReconciled = isReconciled_;
     isReconciled_ = unknownRuns == 0 && listing.isComplete && acceptedFence_ >= requiredFence_;
     if (isReconciled_ && !wasReconciled) {
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -215,6 +215,7 @@
     std::map<int64_t, RunKey> startCalls_; ///< Unanswered StartRun calls, by call id.
     std::map<int64_t, PendingPoll> pendingPolls_;
     MonotonicTime lastPollAt_;
+    bool hasUnknownRuns_ = false; ///< The last listing has runs that this agent has not started.
     bool isReconciled_ = false; ///< The worker accepted the required fence and has no unknown runs.
     bool isDraining_ = false;
     Output output_;
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -152,6 +152,7 @@
     lastReplyAt_ = now;
     lease_.reset();
     lastCallBeforeProcess_ = lastCallId_;
+    hasUnknownRuns_ = false;
     // For a lease end of the old clock, in a call that was under way, the new process grants the longest lease.
     lease_.assumeExtendedTo(now + timing_.longestLease);
     lastEndSeen_ = 0;
@@ -187,6 +188,7 @@
     lastEndAcknowledged_ = 0;
     acceptedFence_ = 0;
     isReconciled_ = false;
+    hasUnknownRuns_ = false;
     pendingPolls_.clear();
     requiredFence_ = fence_;
     log(LogEvent::Level::Info,
