Agent: a worker counts as reconciled by a listing under the required fence

Found by reading.

Cause: the highest fence that the worker had accepted was compared, not that of the listing at hand. A listing of a call with an earlier fence, overtaken by a newer one, hid an unknown run of the newer one.

Change: the fence of the call that was answered counts.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -419,7 +419,7 @@
         }
     }
     reconcileRuns(poll, listing, now);
-    stopUnknownRuns(listing, now);
+    stopUnknownRuns(poll, listing, now);
 }
 
 void WorkerSupervisor::onRunEnded(const ListedEnd &end, MonotonicTime now)
@@ -482,7 +482,7 @@
     }
 }
 
-void WorkerSupervisor::stopUnknownRuns(const RunListing &listing, MonotonicTime now)
+void WorkerSupervisor::stopUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now)
 {
     size_t unknownRuns = 0;
     for (const RunKey &key : listing.running) {
@@ -497,7 +497,7 @@
     }
     hasUnknownRuns_ = unknownRuns > 0;
     const bool wasReconciled = isReconciled_;
-    isReconciled_ = unknownRuns == 0 && listing.isComplete && acceptedFence_ >= requiredFence_;
+    isReconciled_ = unknownRuns == 0 && listing.isComplete && poll.fence >= requiredFence_;
     if (isReconciled_ && !wasReconciled) {
         log(LogEvent::Level::Info,
             "worker_reconciled",
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -182,7 +182,7 @@
     void onRunEnded(const ListedEnd &end, MonotonicTime now);
     void confirmRun(Run &run, MonotonicTime now);
     void reconcileRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now);
-    void stopUnknownRuns(const RunListing &listing, MonotonicTime now);
+    void stopUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now);
     void stopRun(Run &run, MonotonicTime now);
     void raiseFence(int64_t atLeast);
     void sendPollIfNeeded(MonotonicTime now);
