Agent: assume the longest lease from when a new process of the worker accepts the fence

Found by reading.

Cause: for a lease end of the old clock, a restarted worker grants the longest lease. Such calls of before can arrive until the new process has accepted a higher fence, but the agent assumed that lease only from when it had detected the restart, and an agent that started, and didn't know of a restart, assumed none.

Change: the lease is assumed from the first answer under the required fence too, also of a worker that was just found.

Evidence: the test failed before; the run was gone 1,550 ms after the start of the case, its lease might end at 1,880 ms.

Three tests of when the runs of a silent worker are gone now find the worker 1.1 s earlier, since their lease is not known before; their bounds are the same.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -380,6 +380,10 @@
         lastReplyAt_ = now;
         lease_.recordReply();
         acceptedFence_ = std::max(acceptedFence_, poll.fence);
+        if (isLeaseUnknown_ && poll.fence >= requiredFence_) {
+            lease_.assumeExtendedTo(now + timing_.longestLease);
+            isLeaseUnknown_ = false;
+        }
         lastEndAcknowledged_ = std::max(lastEndAcknowledged_, poll.acknowledgedEnd);
         onListing(poll, *reply.listing, now);
         return;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -215,6 +215,8 @@
     std::map<int64_t, RunKey> startCalls_; ///< Unanswered StartRun calls, by call id.
     std::map<int64_t, PendingPoll> pendingPolls_;
     MonotonicTime lastPollAt_;
+    /** Calls of before may extend the lease of the present process until it has accepted the required fence. */
+    bool isLeaseUnknown_ = false;
     bool hasUnknownRuns_ = false; ///< The last listing has runs that this agent has not started.
     bool isReconciled_ = false; ///< The worker accepted the required fence and has no unknown runs.
     bool isDraining_ = false;
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -155,6 +155,7 @@
     hasUnknownRuns_ = false;
     // For a lease end of the old clock, in a call that was under way, the new process grants the longest lease.
     lease_.assumeExtendedTo(now + timing_.longestLease);
+    isLeaseUnknown_ = true;
     lastEndSeen_ = 0;
     lastEndAcknowledged_ = 0;
     acceptedFence_ = 0;
@@ -188,6 +189,7 @@
     lastEndAcknowledged_ = 0;
     acceptedFence_ = 0;
     isReconciled_ = false;
+    isLeaseUnknown_ = true;
     hasUnknownRuns_ = false;
     pendingPolls_.clear();
     requiredFence_ = fence_;
