Agent: drop replies to calls that were sent to another worker

Found by reading.

Cause: replies weren't compared with the worker that their call was sent to. If the answer to a stop (421) confirmed that another worker had taken the place, starts to the former one stayed on record, and the late 421 to one of them ended the runs on the successor. A late listing of the former worker could pass for a restart of the successor.

Change: when a worker is adopted, the runs on the former one end, and replies to the calls up to then are dropped. An announcement with another address doesn't replace a worker that may have runs, also while it has not answered since its restart.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -236,6 +236,9 @@
 void WorkerSupervisor::handleReply(const WorkerReply &reply, MonotonicTime now)
 {
     updateLatestLeaseEnds();
+    if (reply.callId <= lastCallBeforeWorker_) {
+        return;
+    }
     const int64_t startTimeMs = reply.listing ? reply.listing->startTimeMs : 0;
     const bool isOtherProcess = worker_ && startTimeMs != 0 && worker_->identity.startTimeMs != 0
         && startTimeMs != worker_->identity.startTimeMs;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -207,6 +207,7 @@
     int64_t requiredFence_ = 0; ///< Once the worker accepts this fence, no older start can take effect.
     int64_t acceptedFence_ = 0; ///< Highest fence the worker is known to have accepted.
     int64_t lastCallId_ = 0;
+    int64_t lastCallBeforeWorker_ = 0; ///< Calls up to this one were sent to another worker.
     int64_t lastCallBeforeProcess_ = 0; ///< Calls up to this one may have reached an earlier process of the worker.
     int64_t lastEndSeen_ = 0;
     int64_t lastEndAcknowledged_ = 0;
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -28,7 +28,7 @@
     }
     const bool isConsistent = announcement.address == worker_->address && announcement.service == worker_->service
         && announcement.domain == worker_->domain;
-    if (!isConsistent && !hasAnswered()) {
+    if (!isConsistent && !hasAnswered() && runs_.empty()) {
         adoptWorker(announcement, now);
         return;
     }
@@ -119,6 +119,9 @@
 {
     const WorkerAnnouncement announcement = std::exchange(candidate_, std::nullopt)->announcement();
     if (announcement.identity.id != worker_->identity.id) {
+        if (!runs_.empty()) {
+            handleReplacement(now);
+        }
         adoptWorker(announcement, now);
         return;
     }
@@ -183,6 +186,7 @@
     crashEvidence_.beginProcess(worker_->identity, lastCallId_);
     lastAnnouncementAt_ = now;
     lastReplyAt_ = now;
+    lastCallBeforeWorker_ = lastCallId_;
     lastCallBeforeProcess_ = lastCallId_;
     lease_.reset(); // The announced clock is not used until a reply of the process has confirmed it.
     lastEndSeen_ = 0;
