Agent: order the processes of a worker by the calls that they answer, not by start times

Found by reading.

Cause: a worker's start time is a time of day. A process that started after the clock was set back was taken for an earlier one: its listings were dropped while polls renewed its lease, and after 4 s its runs counted as lost.

Change: of two processes under one ID, the one that answers the newer call is the later one.

Evidence: the test failed before; the run was gone while the worker listed it.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -239,18 +239,23 @@
     if (reply.callId <= lastCallBeforeWorker_) {
         return;
     }
-    const int64_t startTimeMs = reply.listing ? reply.listing->startTimeMs : 0;
-    const bool isOtherProcess = worker_ && startTimeMs != 0 && worker_->identity.startTimeMs != 0
-        && startTimeMs != worker_->identity.startTimeMs;
-    if (isOtherProcess && (startTimeMs < worker_->identity.startTimeMs || reply.callId <= lastCallBeforeProcess_)) {
+    switch (listedProcess(reply)) {
+    case ListedProcess::Earlier:
         pendingPolls_.erase(reply.callId);
         sendPollIfNeeded(now);
         return;
+    case ListedProcess::Later: {
+        const WorkerIdentity later{worker_->identity.id, reply.listing->startTimeMs};
+        const bool wasAnnounced = candidate_ && candidate_->announcement().identity == later;
+        handleRestart(later.startTimeMs, wasAnnounced ? candidate_->since() : now, now);
+        lastListedCall_ = reply.callId;
+        break;
     }
-    if (isOtherProcess) {
-        const bool wasAnnounced
-            = candidate_ && candidate_->announcement().identity == WorkerIdentity{worker_->identity.id, startTimeMs};
-        handleRestart(startTimeMs, wasAnnounced ? candidate_->since() : now, now);
+    case ListedProcess::Present:
+        lastListedCall_ = std::max(lastListedCall_, reply.callId);
+        break;
+    case ListedProcess::None:
+        break;
     }
     if (reply.clockMs && isClockOfWorker(reply)) {
         lease_.observeClock(*reply.clockMs, now);
@@ -277,15 +282,30 @@
     sendPollIfNeeded(now);
 }
 
+/**
+ * The process that the reply lists. Start times don't tell which process is the later one, since they are times of day:
+ * the process that answers the newer call is.
+ */
+WorkerSupervisor::ListedProcess WorkerSupervisor::listedProcess(const WorkerReply &reply) const
+{
+    const int64_t startTimeMs = reply.listing ? reply.listing->startTimeMs : 0;
+    if (!worker_ || startTimeMs == 0 || worker_->identity.startTimeMs == 0) {
+        return ListedProcess::None;
+    }
+    if (startTimeMs == worker_->identity.startTimeMs) {
+        return ListedProcess::Present;
+    }
+    const bool isNewerCall = reply.callId > std::max(lastCallBeforeProcess_, lastListedCall_);
+    return isNewerCall ? ListedProcess::Later : ListedProcess::Earlier;
+}
+
 /** A reply to an earlier call, or to a call for another worker, may carry the clock of another process. */
 bool WorkerSupervisor::isClockOfWorker(const WorkerReply &reply) const
 {
     if (!worker_ || reply.rejection == Rejection::OtherIncarnation) {
         return false;
     }
-    const bool namesProcess = reply.listing && reply.listing->startTimeMs != 0
-        && reply.listing->startTimeMs == worker_->identity.startTimeMs;
-    return namesProcess || reply.callId > lastCallBeforeProcess_;
+    return listedProcess(reply) == ListedProcess::Present || reply.callId > lastCallBeforeProcess_;
 }
 
 void WorkerSupervisor::onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now)
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -137,6 +137,13 @@
         int retries = 0; ///< Restarts with a higher attempt number or fence.
     };
 
+    enum class ListedProcess {
+        None, ///< The reply names none, or no process is known to compare it with.
+        Present,
+        Earlier,
+        Later,
+    };
+
     /** A poll that was sent and is not answered yet. */
     struct PendingPoll
     {
@@ -173,6 +180,7 @@
     MonotonicTime latestLeaseEndFor(const RunOrderId &orderId) const;
     MonotonicTime latestLeaseEnd() const;
     void updateLatestLeaseEnds();
+    ListedProcess listedProcess(const WorkerReply &reply) const;
     bool isClockOfWorker(const WorkerReply &reply) const;
     void onStartReply(const RunKey &key, const WorkerReply &reply, MonotonicTime now);
     void markUnresolved(Run &run, MonotonicTime now);
@@ -209,6 +217,7 @@
     int64_t lastCallId_ = 0;
     int64_t lastCallBeforeWorker_ = 0; ///< Calls up to this one were sent to another worker.
     int64_t lastCallBeforeProcess_ = 0; ///< Calls up to this one may have reached an earlier process of the worker.
+    int64_t lastListedCall_ = 0; ///< The newest call that the present process has answered with a listing.
     int64_t lastEndSeen_ = 0;
     int64_t lastEndAcknowledged_ = 0;
     std::map<RunKey, Run> runs_;
