Entry: an incarnation of an agent that has ended neither replaces its successor nor clears its runs

Found by reading.

Cause: incarnations of an agent have no order. The message of one that an entry had never heard, delayed until its successor had connected, was taken for the newer one's: its `cleared` ended all runs of the live agent at this entry, and that agent was ignored from then on.

Change: `cleared` counts in a message that answers the session which the entry has given to that incarnation; one that has ended can't answer.

--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -56,9 +56,7 @@
 {
     WorkerView &view = views_[batch.agent];
     const bool isNew = view.incarnation != batch.incarnation;
-    const bool isPrevious
-        = std::ranges::find(view.previousIncarnations, batch.incarnation) != view.previousIncarnations.end();
-    if (isPrevious || (!isNew && batch.sentAtUs < view.lastAgentTimeUs)) {
+    if (isNew ? !mayBeSuccessor(view, batch, now) : batch.sentAtUs < view.lastAgentTimeUs) {
         return std::nullopt;
     }
     if (isNew) {
@@ -117,15 +115,17 @@
     if (batch.room.takesRuns) {
         view.tookRunsAt = now;
     }
-    // What the agent says of its present worker tells nothing about runs on another one.
+    const bool answersSession = batch.entryIncarnation == incarnation_ && batch.session == view.session;
+    // What the agent says of its present worker tells nothing about runs on another one. An incarnation that has ended
+    // answers no session.
     const bool isAboutEarlierRuns
         = !view.mayHaveEarlierRuns || view.hasWorkerOfEarlierRuns() || now > view.earlierRunsEndAt;
-    if (batch.cleared && !view.hasClearedRuns && isAboutEarlierRuns) {
+    if (batch.cleared && !view.hasClearedRuns && answersSession && isAboutEarlierRuns) {
         view.hasClearedRuns = true;
         forgetEarlierRuns(view);
         update.firstLiveSession = view.session;
     }
-    if (batch.entryIncarnation == incarnation_ && batch.session == view.session) {
+    if (answersSession) {
         view.instructions.acknowledge(batch.acknowledged);
         const size_t duplicates = view.runEndFilter.acceptBatch(batch.firstSequence, batch.ends.size());
         update.ends.assign(batch.ends.begin() + static_cast<std::ptrdiff_t>(duplicates), batch.ends.end());
@@ -140,6 +140,21 @@
     return update;
 }
 
+/**
+ * Whether a message may be of the successor of the agent's known incarnation. Incarnations have no order, and messages
+ * of one that has ended may be under way for long, so the known one is not replaced while it is connected and heard of.
+ */
+bool WorkerDirectory::mayBeSuccessor(const WorkerView &view, const wire::AgentBatch &batch, MonotonicTime now) const
+{
+    const auto silence = now - view.lastMessageAt;
+    if (view.link != LocalLink && silence <= options_.suspectTimeout) {
+        return false;
+    }
+    const bool isPrevious
+        = std::ranges::find(view.previousIncarnations, batch.incarnation) != view.previousIncarnations.end();
+    return !isPrevious || silence > options_.sessionTimeout;
+}
+
 void WorkerDirectory::forgetEarlierRuns(WorkerView &view)
 {
     view.mayHaveEarlierRuns = false;
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -187,6 +187,7 @@
     }
 
 private:
+    bool mayBeSuccessor(const WorkerView &view, const wire::AgentBatch &batch, MonotonicTime now) const;
     static void forgetEarlierRuns(WorkerView &view);
     void beginSession(WorkerView &view);
     void updateAvailable(WorkerView &view, MonotonicTime now);
