--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -140,39 +140,6 @@
     return update;
 }
 
-/**
- * Whether a message may be of the successor of the agent's known incarnation. Incarnations have no order, and messages
- * of one that has ended may be under way for long, so the known one is not replaced while it is connected and heard of.
- */
-bool WorkerDirectory::mayBeSuccessor(const WorkerView &view, const wire::AgentBatch &batch, MonotonicTime now) const
-{
-    const auto silence = now - view.lastMessageAt;
-    if (view.link != LocalLink && silence <= options_.suspectTimeout) {
-        return false;
-    }
-    const bool isPrevious
-        = std::ranges::find(view.previousIncarnations, batch.incarnation) != view.previousIncarnations.end();
-    return !isPrevious || silence > options_.sessionTimeout;
-}
-
-void WorkerDirectory::forgetEarlierRuns(WorkerView &view)
-{
-    view.mayHaveEarlierRuns = false;
-    view.earlierWorkers.clear();
-}
-
-void WorkerDirectory::beginSession(WorkerView &view)
-{
-    view.session = ++lastSession_;
-    view.instructions = {};
-    view.runEndFilter = {};
-    view.lastAcknowledgmentSent = 0;
-    view.uncountedDemands.clear();
-    view.operatorPositionSent = 0;
-    view.openRuns = 0;
-    view.overcommittedRuns.clear();
-}
-
 void WorkerDirectory::recordOvercommittedEnds(WorkerView &view, const std::vector<wire::RunEnd> &ends)
 {
     for (const wire::RunEnd &end : ends) {
@@ -310,36 +277,6 @@
     agents_.erase(found);
 }
 
-std::vector<ExpiredSession> WorkerDirectory::expireSilentSessions(MonotonicTime now)
-{
-    std::vector<ExpiredSession> expired;
-    for (WorkerView *each : activeViews_) {
-        WorkerView &view = *each;
-        const bool isUnusable = !isUsable(view, now);
-        if (isUnusable != view.wasUnusable) {
-            view.wasUnusable = isUnusable;
-            out_.log(LogEvent::Level::Info,
-                     isUnusable ? "agent_became_unusable" : "agent_became_usable",
-                     {{"agent", view.agent},
-                      {"worker", view.state.worker},
-                      {"silent_ms", absl::StrCat(millisecondsBetween(view.lastMessageAt, now))},
-                      {"takes_runs", view.reported.takesRuns ? "1" : "0"},
-                      {"leaving", view.isLeaving ? "1" : "0"}});
-        }
-        if (!view.mayHaveRuns() || now - view.lastMessageAt <= options_.sessionTimeout) {
-            continue;
-        }
-        forgetEarlierRuns(view);
-        beginSession(view);
-        updateAvailable(view, now);
-        out_.log(LogEvent::Level::Warning,
-                 "agent_session_expired",
-                 {{"agent", view.agent}, {"silent_ms", absl::StrCat(millisecondsBetween(view.lastMessageAt, now))}});
-        expired.push_back(ExpiredSession{view.agent, view.session});
-    }
-    return expired;
-}
-
 void WorkerDirectory::orderRun(WorkerView &view, const wire::RunOrder &order, MonotonicTime now)
 {
     const Demand demand = fromWire(order.demand);
