--- a/misc/soak.py
+++ b/misc/soak.py
@@ -20,7 +20,6 @@
 """
 import argparse
 import asyncio
-import base64
 import json
 import os
 import random
@@ -31,7 +30,8 @@
 from datetime import datetime, timezone
 
 from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, MAX_PROXIES, WORKERS, WORKER_CPU_MILLIS, Deployment,
-                             Proxy, Settings, http)
+                             Proxy, Settings, http, write_row)
+from soak_faults import inject_faults, inject_group_faults, write_odd_entries
 
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
@@ -106,33 +106,6 @@
         entry = rng.randrange(settings.entries)
 
 
-async def write_row(deployment, table, key, value):
-    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value.encode()).decode()}
-    return await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
-
-
-async def write_odd_entries(deployment, rng, seconds):
-    """Sends what another writer may send to the agents, and leaves rows among those of the entries."""
-    end = time.monotonic() + seconds
-    deep = "[" * 500_000 + "]" * 500_000
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.1, 1.0))
-        if rng.random() < 0.3:
-            await write_row(deployment, "entries", f"odd {rng.randrange(3)}",
-                            rng.choice(["127.0.0.1:99999", "[" * 1000, "18446744073709551616", "127.0.0.1"]))
-            continue
-        index = rng.randrange(deployment.settings.workers)
-        name = rng.choice([f"w-{index}", "w-other"])
-        beat = {"service": rng.choice(["orders", "unknown"]), "addr": f"127.0.0.1:{rng.choice([9, 99999])}",
-                "zone": "north", "state": "ready", "capacity": {"cpu": 32000, "mem-mb": 4096, "gpu": 0}, "labels": [],
-                "clock-ms": rng.choice([5, 2**53, 2**64]), "seq": rng.choice([1, 2**53, 2**64]),
-                "born": rng.choice([1, int(time.time() * 1000), 2**53])}
-        body = json.dumps(beat)
-        if rng.random() < 0.3:
-            body = body.replace('"labels": []', f'"labels": {deep}')
-        await http(deployment.port("agent_http", index), "PUT", f"/api/instances/{name}", body, timeout=1)
-
-
 async def publish_configuration(deployment):
     """Writes an operator configuration with one queue to the store."""
     configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
@@ -142,104 +115,6 @@
         await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
-async def inject_faults(deployment, seconds):
-    rng, settings = deployment.rng, deployment.settings
-    pending, end = [], time.monotonic() + seconds
-    pause, restart = deployment.pause, deployment.restart
-
-    async def inject_store_fault(fault, duration):
-        await http(deployment.store, "POST", "/faults", fault)
-        await asyncio.sleep(duration)
-        await http(deployment.store, "POST", "/faults", {})
-
-    async def inject_worker_fault(index, fault, duration):
-        await http(deployment.port("worker", index), "POST", "/faults", fault)
-        await asyncio.sleep(duration)
-        await http(deployment.port("worker", index), "POST", "/faults", {})
-
-    def inject_link_faults(duration):
-        for _, connection in list(CONNECTIONS.values()):
-            if rng.random() < 0.4:
-                continue
-            kind = rng.choice(["up", "down", "both", "reset", "delay"])
-            if kind == "reset":
-                for writer in connection["writers"]:
-                    writer.transport.abort()
-            elif kind == "delay":
-                connection["delay"] = rng.uniform(0, 0.05)
-            for direction in ("up", "down"):
-                if kind in (direction, "both"):
-                    connection[direction] = time.monotonic() + duration
-
-    nodes = [f"entry{i}" for i in range(settings.entries)] + [f"agent{i}" for i in range(settings.workers)]
-    random_node = lambda: rng.choice(nodes)
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.1, 1.2))
-        duration = rng.uniform(0.1, 3)
-        kind = rng.randrange(6)
-        if kind == 0:
-            pending.append(asyncio.create_task(pause(random_node(), duration)))
-        elif kind == 1:
-            pending.append(asyncio.create_task(restart(random_node(), signal.SIGKILL, duration)))
-        elif kind == 2:
-            pending.append(asyncio.create_task(restart(random_node(), signal.SIGTERM, 0)))
-        elif kind == 3:
-            inject_link_faults(duration)
-        elif kind == 4:
-            fault = rng.choice([{"outage": True}, {"latency_ms": 700}, {"lose_answers": True}, {"forget": True}])
-            pending.append(asyncio.create_task(inject_store_fault(fault, duration)))
-        else:
-            fault = rng.choice([{"restart": True}, {"stuck": True}, {"fail_all": True}, {"late_share": 0.1}])
-            pending.append(asyncio.create_task(inject_worker_fault(rng.randrange(settings.workers), fault, duration)))
-    await asyncio.gather(*pending)
-
-
-async def inject_group_faults(deployment, rng, seconds):
-    """Pauses several processes together, kills agents in a row, and pauses agents when an entry has just gone."""
-    settings = deployment.settings
-    pending, end = [], time.monotonic() + seconds
-    agents = [f"agent{i}" for i in range(settings.workers)]
-    entries = [f"entry{i}" for i in range(settings.entries)]
-
-    def some(names, share):
-        return rng.sample(names, max(1, int(len(names) * rng.uniform(0, share))))
-
-    async def pause_all(names, duration):
-        await asyncio.gather(*(deployment.pause(name, duration) for name in names))
-
-    async def kill_in_turn(names):
-        restarts = []
-        for name in names:
-            restarts.append(asyncio.create_task(deployment.restart(name, signal.SIGKILL, rng.uniform(0.5, 3))))
-            await asyncio.sleep(rng.uniform(0.3, 3))
-        await asyncio.gather(*restarts)
-
-    async def lose_entries_then_agents():
-        duration = rng.uniform(0.4, 4)
-        if rng.random() < 0.5:
-            lost = pause_all(some(entries, 0.3), duration)
-        else:
-            lost = deployment.restart(rng.choice(entries), signal.SIGKILL, duration)
-        lost = asyncio.create_task(lost)
-        await asyncio.sleep(rng.uniform(0, 0.8))
-        await pause_all(some(agents, 0.4), rng.uniform(0.6, 4))
-        await lost
-
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.3, 1.5))
-        kind = rng.randrange(4)
-        if kind == 0:
-            fault = pause_all(some(agents, 0.3) + some(entries, 0.3), rng.uniform(0.4, 4))
-        elif kind == 1:
-            fault = pause_all(some(agents, 0.5), rng.uniform(0.4, 4))
-        elif kind == 2:
-            fault = kill_in_turn(rng.sample(agents, min(len(agents), rng.randint(2, 5))))
-        else:
-            fault = lose_entries_then_agents()
-        pending.append(asyncio.create_task(fault))
-    await asyncio.gather(*pending)
-
-
 def find_violations(work, results, settings):
     """Checks the invariants against what callers and workers observed; returns descriptions."""
     violations, runs = [], {}
--- a/misc/soak_deployment.py
+++ b/misc/soak_deployment.py
@@ -1,5 +1,6 @@
 """A deployment of the real programs on loopback, and the links and clients of it that a test can disturb."""
 import asyncio
+import base64
 import json
 import os
 import signal
@@ -226,3 +227,8 @@
         return await asyncio.wait_for(send_request(), timeout)
     except (OSError, asyncio.TimeoutError, ValueError, asyncio.IncompleteReadError):
         return None
+
+
+async def write_row(deployment, table, key, value):
+    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value.encode()).decode()}
+    return await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
