Soak: silent connections, quotas of processor time, late closes and successions of workers

The proxy of a worker refuses connections while the worker's process is gone, because agents tell a crash by that.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -15,8 +15,11 @@
 
 Options add faults of which a run at the default size has none or few: several processes paused or killed together
 (--group-faults), starts that stay unanswered and are executed late all the while (--late-every), clients whose
-connection is reset during a call (--reset-share) or that submit again after their deadline (--resubmit-expired), and a
-shortage of processor time (--busy). Their random numbers are drawn apart: a seed means the same run without them.
+connection is reset during a call (--reset-share) or that submit again after their deadline (--resubmit-expired), a
+shortage of processor time (--busy), connections that go silent without an end, also those to the store and to workers
+(--silent-share, --one-way-share), quotas of processor time (--quota), clients whose connections end late at the entry
+(--late-closes), and workers that restart in series while their agents are paused or killed (--successions). Their
+random numbers are drawn apart: a seed means the same run without them.
 """
 import argparse
 import asyncio
@@ -29,9 +32,9 @@
 import time
 from datetime import datetime, timezone
 
-from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, MAX_PROXIES, WORKERS, WORKER_CPU_MILLIS, Deployment,
-                             Proxy, Settings, http, write_row)
-from soak_faults import inject_faults, inject_group_faults, write_odd_entries
+from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, SERVICE_CONNECTIONS, WORKERS, WORKER_CPU_MILLIS,
+                             Deployment, Proxy, Settings, http, write_row)
+from soak_faults import inject_faults, start_optional_faults, write_odd_entries
 
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
@@ -72,7 +75,7 @@
     while (remaining_s := deadline - time.monotonic()) > 0.05:
         headers = ("Host: desk.example", f"Deadline-Ms: {int(remaining_s * 1000)}", f"Request-Id: {job}")
         sent_at = wall_time()
-        response = await http(deployment.port("http", entry), "POST", f"/orders/{job}", body, headers, remaining_s)
+        response = await http(deployment.client_port(entry), "POST", f"/orders/{job}", body, headers, remaining_s)
         if record_try(record, entry, sent_at, response):
             return
         await asyncio.sleep(RESUBMIT_DELAY_S)
@@ -95,7 +98,7 @@
     for _ in range(MAX_ATTEMPTS):
         resets = rng.random() < settings.reset_share
         wait_s = rng.uniform(0, attempt_s) if resets else attempt_s
-        port = deployment.port("http", entry)
+        port = deployment.client_port(entry)
         sent_at = wall_time()
         response = await http(port, "POST", f"/orders/{record['job']}", body, headers, wait_s, resets)
         if record_try(record, entry, sent_at, response):
@@ -155,12 +158,12 @@
 async def run(seed, seconds, base, work, settings):
     rng = random.Random(seed)
     CONNECTIONS.clear()
+    SERVICE_CONNECTIONS.clear()
     deployment = Deployment(work, base, rng, settings)
     signal.signal(signal.SIGTERM, lambda *_: deployment.end())
     try:
         deployment.start_by_name("store")
-        proxies = [Proxy(deployment.port("proxy", i), deployment.port("link", i))
-                   for i in range(min(settings.entries, MAX_PROXIES))]
+        proxies = deployment.make_proxies()
         for proxy in proxies:
             await proxy.start()
         await asyncio.sleep(0.3)
@@ -175,8 +178,7 @@
         results, clients = [], []
         fault_task = asyncio.create_task(inject_faults(deployment, seconds))
         odd_task = asyncio.create_task(write_odd_entries(deployment, random.Random(f"odd {seed}"), seconds))
-        group_task = asyncio.create_task(
-            inject_group_faults(deployment, random.Random(f"groups {seed}"), seconds if settings.group_faults else 0))
+        optional_tasks = start_optional_faults(deployment, seed, seconds)
         worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(settings.workers)]
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
@@ -184,7 +186,7 @@
             crashes = rng.random() < CRASHING_SHARE
             clients.append(asyncio.create_task(client(deployment, job, results, crashes, settings)))
             await asyncio.sleep(rng.uniform(0.02, 0.08) / settings.load)
-        await asyncio.gather(fault_task, odd_task, group_task)
+        await asyncio.gather(fault_task, odd_task, *optional_tasks)
         await asyncio.gather(*clients)
         deployment.stop_busy_processes()
         # All jobs must be served again after the last fault.
@@ -200,6 +202,7 @@
             proxy.server.close()
     finally:
         deployment.kill_all()
+    await asyncio.sleep(0.3)  # The proxies close the connections of the processes that have ended.
     violations = find_violations(work, results + final_results, settings)
     with open(f"{work}/clients.json", "w") as out:
         # Runs are logged with the time of the monotonic clock.
@@ -233,6 +236,14 @@
                          help="share of jobs with long tasks, if clients submit again")
     options.add_argument("--resubmit-expired", action="store_true", help="clients submit again after their deadline")
     options.add_argument("--group-faults", action="store_true", help="several processes are paused or killed together")
+    options.add_argument("--silent-share", type=float, default=0,
+                         help="share of the open connections that go silent for good, at each of several times")
+    options.add_argument("--one-way-share", type=float, default=0, help="the same, in one direction")
+    options.add_argument("--quota", action="store_true", help="processes run for 10 to 50 ms of each 100 ms only")
+    options.add_argument("--late-closes", action="store_true",
+                         help="the end of a client's connection reaches the entry 20 to 200 ms late")
+    options.add_argument("--successions", action="store_true",
+                         help="workers restart in series while their agents are paused or killed")
     arguments = options.parse_args()
     settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
     if arguments.minutes:
--- a/misc/soak_deployment.py
+++ b/misc/soak_deployment.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -14,41 +15,74 @@
 ENTRIES, WORKERS = 3, 5
 MAX_PROXIES = 6  # Agents connect directly to further entries: one process forwards the data of all proxies.
 MAX_SEEDS = 6
-ENTRY_PORTS = ("http", "ready", "metrics", "link", "proxy")
-WORKER_PORTS = ("agent_http", "agent_metrics", "worker")
+ENTRY_PORTS = ("http", "ready", "metrics", "link", "proxy", "http_proxy")
+WORKER_PORTS = ("agent_http", "agent_metrics", "worker", "worker_proxy")
 DOMAINS = ("north", "east", "south", "west")
 WORKER_CPU_MILLIS = 32000
 WORKER_DOWNTIME_S = 2
 LATE_MS = (2500, 100, 300, 800, 1500)  # Delays of late starts, by worker.
+QUOTA_PERIOD_S = 0.1
+CLOSE_DELAYS_S = (0.02, 0.2)
+FOLLOW_INTERVAL_S = 0.005
 BUILD = os.environ.get("BUILD", "build/release")
 CRASH_SIGNALS = (signal.SIGSEGV, signal.SIGABRT, signal.SIGBUS, signal.SIGILL, signal.SIGFPE)
 
 
 class Proxy:
-    """Forwards connections to one entry and applies link faults to them."""
+    """Forwards connections to one process and applies the faults of links to them.
 
-    def __init__(self, listen, target):
+    @p close_delays_s, if given, are the limits of the time by which the end of a client's connection is late.
+    @p is_running, if given, tells whether the process runs; connections are refused while it does not."""
+
+    def __init__(self, listen, target, registry=None, close_delays_s=None, is_running=None):
         self.listen, self.target, self.connections = listen, target, set()
+        self.registry = CONNECTIONS if registry is None else registry
+        self.close_delays_s, self.is_running = close_delays_s, is_running
         self.blocked_until = {"up": 0.0, "down": 0.0}  # Also for connections yet to come.
 
     async def start(self):
+        await self.open()
+        if self.is_running:
+            self.follower = asyncio.create_task(self.follow())
+
+    async def open(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", self.listen)
 
+    async def follow(self):
+        """A refused connection tells the agent that its worker has crashed."""
+        while True:
+            if self.server.is_serving() and not self.is_running():
+                self.server.close()
+            elif not self.server.is_serving() and self.is_running() and await self.is_reachable():
+                await self.open()
+            await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+    async def is_reachable(self):
+        try:
+            _, writer = await asyncio.open_connection("127.0.0.1", self.target)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
     async def accept(self, reader, writer):
         try:
             upstream_reader, upstream_writer = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
             writer.close()
             return
-        connection = {"up": 0.0, "down": 0.0, "delay": 0.0, "writers": (writer, upstream_writer)}
+        connection = {"up": 0.0, "down": 0.0, "delay": 0.0, "silent": set(), "writers": (writer, upstream_writer)}
         self.connections.add(id(connection))
-        CONNECTIONS[id(connection)] = (self, connection)
+        self.registry[id(connection)] = (self, connection)
         try:
             await asyncio.gather(self.pump(connection, "up", reader, upstream_writer),
                                  self.pump(connection, "down", upstream_reader, writer))
         except asyncio.CancelledError:
             pass  # Cancelled at the end of the run.
-        CONNECTIONS.pop(id(connection), None)
+        self.registry.pop(id(connection), None)
+        if connection["silent"] or asyncio.current_task().cancelling():
+            writer.close()
+            upstream_writer.close()
 
     async def pump(self, connection, direction, reader, writer):
         try:
@@ -58,15 +92,28 @@
                     await asyncio.sleep(0.01)
                 if connection["delay"]:
                     await asyncio.sleep(connection["delay"])
-                writer.write(data)
-                await writer.drain()
+                if direction not in connection["silent"]:
+                    writer.write(data)
+                    await writer.drain()
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            # Neither data nor the end of the connection gets through in a silent direction.
+            if direction not in connection["silent"]:
+                self.close_later(direction, writer)
+
+    def close_later(self, direction, writer):
+        delay_s = random.uniform(*self.close_delays_s) if direction == "up" and self.close_delays_s else 0
+        if direction == "down" and self.is_running:
+            delay_s = 2 * FOLLOW_INTERVAL_S  # The next connection is refused by then, if the process has ended.
+        if delay_s:
+            asyncio.get_running_loop().call_later(delay_s, writer.close)
+        else:
             writer.close()
 
 
-CONNECTIONS = {}
+CONNECTIONS = {}  # Of agents to entries.
+SERVICE_CONNECTIONS = {}  # To workers and the store; they exist only with connections that go silent.
 
 
 @dataclass(frozen=True)
@@ -83,6 +130,15 @@
     long_share: float = 0.0
     resubmit_expired: bool = False
     group_faults: bool = False
+    silent_share: float = 0.0
+    one_way_share: float = 0.0
+    quota: bool = False
+    late_closes: bool = False
+    successions: bool = False
+
+    @property
+    def has_service_proxies(self):
+        return bool(self.silent_share or self.one_way_share)
 
 
 class Deployment:
@@ -93,12 +149,30 @@
         self.crashed = set()
         self.store = base
         self.link_port_kind = "proxy"  # Agents connect to the entries through the proxies.
+        self.paused_until = {}
 
     def port(self, kind, index):
         if kind in ENTRY_PORTS:
             return self.base + self.entry_slots * (1 + ENTRY_PORTS.index(kind)) + index
         return self.base + self.entry_slots * 10 + self.worker_slots * WORKER_PORTS.index(kind) + index
 
+    def client_port(self, index):
+        return self.port("http_proxy" if self.settings.late_closes else "http", index)
+
+    def make_proxies(self):
+        settings = self.settings
+        proxies = [Proxy(self.port("proxy", i), self.port("link", i))
+                   for i in range(min(settings.entries, MAX_PROXIES))]
+        if settings.has_service_proxies:
+            proxies.append(Proxy(self.store + 1, self.store, SERVICE_CONNECTIONS))
+            proxies += [Proxy(self.port("worker_proxy", i), self.port("worker", i), SERVICE_CONNECTIONS,
+                              is_running=lambda name=f"workr{i}": self.is_running(name))
+                        for i in range(settings.workers)]
+        if settings.late_closes:
+            proxies += [Proxy(self.port("http_proxy", i), self.port("http", i), {}, CLOSE_DELAYS_S)
+                        for i in range(settings.entries)]
+        return proxies
+
     def link_address(self, index):
         return self.address(self.link_port_kind if index < MAX_PROXIES else "link", index)
 
@@ -126,15 +200,17 @@
             self.start(name, f"{BUILD}/standins/marjoramferry-standin", "store", "--listen", f"127.0.0.1:{self.store}")
             return
         if name.startswith("workr"):
+            announced = self.address("worker_proxy" if self.settings.has_service_proxies else "worker", index)
             self.start(name, f"{BUILD}/standins/marjoramferry-standin", "worker", "--name", f"w-{index}", "--listen",
-                       self.address("worker", index), "--agent", self.address("agent_http", index), "--cpu-millis",
-                       str(self.settings.cpu_millis), "--start-log", f"{self.work}/runs{index}.log", "--domain",
-                       self.domain(index), "--late-every", str(self.settings.late_every), "--late-ms",
-                       str(LATE_MS[index % len(LATE_MS)]))
+                       self.address("worker", index), "--announced-address", announced, "--agent",
+                       self.address("agent_http", index), "--cpu-millis", str(self.settings.cpu_millis), "--start-log",
+                       f"{self.work}/runs{index}.log", "--domain", self.domain(index), "--late-every",
+                       str(self.settings.late_every), "--late-ms", str(LATE_MS[index % len(LATE_MS)]))
             return
         ini = f"{self.work}/{name}.ini"
+        store = self.store + 1 if self.settings.has_service_proxies else self.store
         common = f"name = {name}\ndomain = {self.domain(index)}\nlog_level = info\n"
-        tail = f"seeds = {seeds}\n[platform]\nstore = 127.0.0.1:{self.store}\n"
+        tail = f"seeds = {seeds}\n[platform]\nstore = 127.0.0.1:{store}\n"
         with open(ini, "w") as out:
             if name.startswith("entry"):
                 out.write(f"[process]\nrole = work-entry\n{common}[work_entry]\nhttp_listen = {self.address('http', index)}\n"
@@ -147,6 +223,9 @@
                           f"metrics_listen = {self.address('agent_metrics', index)}\n" + tail)
         self.start(name, f"{BUILD}/programs/marjoramferryd", "--config", ini)
 
+    def is_running(self, name):
+        return name in self.processes and self.processes[name].poll() is None
+
     def signal(self, name, signal_number):
         process = self.processes.get(name)
         if process and process.poll() is None:
@@ -160,10 +239,25 @@
             self.start_by_name(name)
 
     async def pause(self, name, duration):
+        self.paused_until[name] = max(self.paused_until.get(name, 0), time.monotonic() + duration)
         self.signal(name, signal.SIGSTOP)
         await asyncio.sleep(duration)
         self.signal(name, signal.SIGCONT)
 
+    async def run_under_quota(self, name, run_s, duration):
+        """Stops a process for a part of each period, as a quota of processor time does."""
+        end = time.monotonic() + duration
+        while time.monotonic() < end:
+            self.resume(name)
+            await asyncio.sleep(run_s)
+            self.signal(name, signal.SIGSTOP)
+            await asyncio.sleep(QUOTA_PERIOD_S - run_s)
+        self.resume(name)
+
+    def resume(self, name):
+        if time.monotonic() >= self.paused_until.get(name, 0):
+            self.signal(name, signal.SIGCONT)
+
     async def restart(self, name, signal_number, duration):
         process = self.processes[name]
         self.signal(name, signal_number)
--- a/misc/soak_faults.py
+++ b/misc/soak_faults.py
@@ -1,10 +1,11 @@
 """The faults of the soak: random disturbances of a deployment, drawn from a generator of their own each."""
 import asyncio
 import json
+import random
 import signal
 import time
 
-from soak_deployment import CONNECTIONS, http, write_row
+from soak_deployment import CONNECTIONS, QUOTA_PERIOD_S, SERVICE_CONNECTIONS, http, write_row
 
 
 async def write_odd_entries(deployment, rng, seconds):
@@ -50,7 +51,7 @@
                 continue
             kind = rng.choice(["up", "down", "both", "reset", "delay"])
             if kind == "reset":
-                for writer in connection["writers"]:
+                for writer in connection["writers"] if not connection["silent"] else ():
                     writer.transport.abort()
             elif kind == "delay":
                 connection["delay"] = rng.uniform(0, 0.05)
@@ -125,3 +126,69 @@
             fault = lose_entries_then_agents()
         pending.append(asyncio.create_task(fault))
     await asyncio.gather(*pending)
+
+
+async def silence_connections(rng, directions, share, seconds):
+    """Lets open connections go silent for good, many at once, while new ones work."""
+    end = time.monotonic() + seconds
+    while share and time.monotonic() < end:
+        await asyncio.sleep(rng.uniform(0.3, 2))
+        silent = rng.choice(directions)
+        for _, connection in list(CONNECTIONS.values()) + list(SERVICE_CONNECTIONS.values()):
+            if rng.random() < share:
+                connection["silent"].update(silent)
+
+
+async def inject_quotas(deployment, rng, seconds):
+    """Limits the processor time of several agents, entries or both for seconds."""
+    settings = deployment.settings
+    pending, end = [], time.monotonic() + seconds
+    agents = [f"agent{i}" for i in range(settings.workers)]
+    entries = [f"entry{i}" for i in range(settings.entries)]
+    while time.monotonic() < end:
+        await asyncio.sleep(rng.uniform(0.3, 2))
+        names = rng.choice([agents, entries, agents + entries])
+        duration = rng.uniform(1, 4)
+        for name in rng.sample(names, rng.randint(1, len(names))):
+            await asyncio.sleep(rng.uniform(0, QUOTA_PERIOD_S / len(names)))  # They don't stop in step.
+            throttled = deployment.run_under_quota(name, rng.uniform(0.01, 0.05), duration)
+            pending.append(asyncio.create_task(throttled))
+    await asyncio.gather(*pending)
+
+
+async def inject_successions(deployment, rng, seconds):
+    """Restarts workers under the same ID in series, while their agents are paused or have been killed."""
+    pending, end = [], time.monotonic() + seconds
+    workers = deployment.settings.workers
+
+    async def restart_in_series(index):
+        port = deployment.port("worker", index)
+        for _ in range(rng.randint(1, 4)):
+            await asyncio.sleep(rng.uniform(0.02, 0.8))
+            await http(port, "POST", "/faults", {"restart": True, "late_share": rng.choice([0, 0, 0.2])})
+        await asyncio.sleep(rng.uniform(0.02, 0.8))
+        await http(port, "POST", "/faults", {})
+
+    while time.monotonic() < end:
+        await asyncio.sleep(rng.uniform(0.3, 2))
+        for index in rng.sample(range(workers), rng.randint(1, (workers + 1) // 2)):
+            agent, pause_s, is_killed = f"agent{index}", rng.uniform(0.4, 4), rng.random() < 0.4
+            pending.append(asyncio.create_task(restart_in_series(index)))
+            pending.append(asyncio.create_task(deployment.restart(agent, signal.SIGKILL, pause_s / 2) if is_killed
+                                               else deployment.pause(agent, pause_s)))
+    await asyncio.gather(*pending)
+
+
+def start_optional_faults(deployment, seed, seconds):
+    """Starts the faults that the settings ask for, and returns their tasks."""
+    settings = deployment.settings
+
+    def generator(name):
+        return random.Random(f"{name} {seed}")
+
+    faults = [silence_connections(generator("silent"), [("up", "down")], settings.silent_share, seconds),
+              silence_connections(generator("one way"), [("up",), ("down",)], settings.one_way_share, seconds),
+              inject_group_faults(deployment, generator("groups"), seconds if settings.group_faults else 0),
+              inject_quotas(deployment, generator("quota"), seconds if settings.quota else 0),
+              inject_successions(deployment, generator("successions"), seconds if settings.successions else 0)]
+    return [asyncio.create_task(fault) for fault in faults]
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -59,6 +59,7 @@
 {
     PlatformWorkerOptions worker;
     worker.listenAddress = arguments["listen"].as<std::string>();
+    worker.announcedAddress = arguments["announced-address"].as<std::string>();
     worker.agentAddress = arguments["agent"].as<std::string>();
     worker.name = arguments["name"].as<std::string>();
     worker.service = arguments["service"].as<std::string>();
@@ -84,6 +85,9 @@
     description.add_options()("kind", options::value<std::string>(), "table, endpoint, store or worker")(
         "listen", options::value<std::string>()->required(), "host:port to listen on")(
         "agent", options::value<std::string>()->default_value(""), "host:port of the HTTP interface of the agent")(
+        "announced-address",
+        options::value<std::string>()->default_value(""),
+        "host:port at which the agent calls the worker, if not the one it listens on")(
         "name", options::value<std::string>()->default_value("endpoint"), "name of the endpoint or worker")(
         "service", options::value<std::string>()->default_value("orders"), "service of the endpoint or worker")(
         "slots", options::value<int>()->default_value(8), "limit of concurrent tasks of the endpoint")(
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -288,12 +288,13 @@
     call.method = "PUT";
     call.url = absl::StrCat("http://", options_.agentAddress, "/api/instances/", options_.name);
     call.timeout = AnnounceTimeout;
+    const auto &address = options_.announcedAddress.empty() ? options_.listenAddress : options_.announcedAddress;
     {
         absl::MutexLock lock(&mutex_);
         model_->advance(monotonicNow());
         writeRunLog();
         call.body = json{{"service", options_.service},
-                         {"addr", options_.listenAddress},
+                         {"addr", address},
                          {"zone", options_.domain},
                          {"version", "v1"},
                          {"slots", 8},
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -20,6 +20,7 @@
     std::string service;
     std::string domain;
     std::string listenAddress;
+    std::string announcedAddress; ///< host:port at which the agent calls the worker; empty for listenAddress.
     std::string agentAddress; ///< host:port of the agent that receives the announcements.
     std::string runLog; ///< File that gets a JSON line at each start and end of a run; empty for none.
     int cpuMillis = 32'000; ///< Capacity, in thousandths of a core.
