Soak: tell a late start on a successor and a stalled machine apart from faults of the programs

Cause: two findings of the long run needed a trace through the logs to be told apart. Change: the stand-in logs a late start that its successor executes; the soak says for how long it stood still itself when jobs after the faults are not served.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -43,6 +43,7 @@
 ATTEMPT_DEADLINE_S = 1.5  # Of each attempt of a client that submits again after its deadline.
 LONG_TASKS, LONG_RUN_MS, LONG_DEADLINE_S = 2, 1600, 4  # A run of this length outlasts the delay of a resubmission.
 MAX_ATTEMPTS = 4
+STALL_CHECK_S = 0.02
 
 
 def wall_time():
@@ -118,6 +119,14 @@
         await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
+async def watch_stalls(stalls):
+    """Records for how long this process has stood still, which tells a shortage of processor time from a fault."""
+    while True:
+        before = time.monotonic()
+        await asyncio.sleep(STALL_CHECK_S)
+        stalls.append(time.monotonic() - before - STALL_CHECK_S)
+
+
 def find_violations(work, results, settings):
     """Checks the invariants against what callers and workers observed; returns descriptions."""
     violations, runs = [], {}
@@ -192,11 +201,13 @@
         # All jobs must be served again after the last fault.
         final_results, clients = [], []
         await asyncio.sleep(4)
+        stalls = []
+        stall_task = asyncio.create_task(watch_stalls(stalls))
         for _ in range(30):
             clients.append(asyncio.create_task(client(deployment, f"{rng.getrandbits(64):016x}", final_results)))
             await asyncio.sleep(0.05)
         await asyncio.gather(*clients)
-        for task in worker_tasks:
+        for task in worker_tasks + [stall_task]:
             task.cancel()
         for proxy in proxies:
             proxy.server.close()
@@ -211,7 +222,8 @@
     violations += [f"{name} crashed" for name in sorted(deployment.crashed)]
     served = sum(1 for record in final_results if record.get("answer", (0, ""))[0] == 200)
     if served < len(final_results):
-        violations.append(f"after the faults {served} of {len(final_results)} jobs were served")
+        violations.append(f"after the faults {served} of {len(final_results)} jobs were served "
+                          f"(this process stood still for up to {max(stalls, default=0) * 1000:.0f} ms)")
     total = sum(1 for record in results if record.get("answer", (0, ""))[0] == 200)
     return violations, f"{total} of {len(results)} jobs served under faults"
 
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 
+#include <iostream>
 #include <thread>
 #include <utility>
 
@@ -131,10 +132,9 @@
         }
         absl::MutexLock lock(&mutex_);
         if (std::holds_alternative<StartRun>(call) && isNextStartLate()) {
-            timers_.after(options_.lateStartDelay, [this, call] {
+            timers_.after(options_.lateStartDelay, [this, call, receiver = model_->identity().startTimeMs] {
                 absl::MutexLock lateLock(&mutex_);
-                model_->call(call, monotonicNow());
-                writeRunLog();
+                executeLateStart(std::get<StartRun>(call), receiver);
             });
             return true; // The request stays unanswered.
         }
@@ -151,6 +151,18 @@
     return true;
 }
 
+void PlatformWorkerStandin::executeLateStart(const StartRun &call, int64_t receiverStartTimeMs)
+{
+    const bool isAccepted = model_->call(call, monotonicNow()).outcome == CallOutcome::Accepted;
+    writeRunLog();
+    // Tells a run that a successor has executed from one that its agent has sent to it.
+    if (isAccepted && model_->identity().startTimeMs != receiverStartTimeMs) {
+        std::cerr << "event=late_start_executed_by_successor task=" << taskNameOf(call.key)
+                  << " run=" << call.key.attempt << " received_by=" << receiverStartTimeMs
+                  << " executed_by=" << model_->identity().startTimeMs << std::endl;
+    }
+}
+
 bool PlatformWorkerStandin::isNextStartLate()
 {
     ++startCount_;
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -48,6 +48,8 @@
     bool onRequest(const HttpRequest &request);
     /** Whether the next start stays unanswered and is executed late. */
     bool isNextStartLate() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /** Executes a start that the process with the given start time has received. */
+    void executeLateStart(const StartRun &call, int64_t receiverStartTimeMs) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void setFaults(const HttpRequest &request);
     /** Answers a poll once an unacknowledged end exists or at @p deadline; checks again later otherwise. */
     void answerPoll(uint64_t token, const PollRuns &poll, MonotonicTime deadline);
