--- a/misc/soak.py
+++ b/misc/soak.py
@@ -256,6 +256,8 @@
                          help="the end of a client's connection reaches the entry 20 to 200 ms late")
     options.add_argument("--successions", action="store_true",
                          help="workers restart in series while their agents are paused or killed")
+    options.add_argument("--drop-late-on-restart", action="store_true",
+                         help="late starts end with the worker's process, and never reach the next one")
     arguments = options.parse_args()
     settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
     if arguments.minutes:
--- a/misc/soak_deployment.py
+++ b/misc/soak_deployment.py
@@ -135,6 +135,7 @@
     quota: bool = False
     late_closes: bool = False
     successions: bool = False
+    drop_late_on_restart: bool = False
 
     @property
     def has_service_proxies(self):
@@ -205,7 +206,8 @@
                        self.address("worker", index), "--announced-address", announced, "--agent",
                        self.address("agent_http", index), "--cpu-millis", str(self.settings.cpu_millis), "--start-log",
                        f"{self.work}/runs{index}.log", "--domain", self.domain(index), "--late-every",
-                       str(self.settings.late_every), "--late-ms", str(LATE_MS[index % len(LATE_MS)]))
+                       str(self.settings.late_every), "--late-ms", str(LATE_MS[index % len(LATE_MS)]),
+                       *(["--drop-late-on-restart"] if self.settings.drop_late_on_restart else []))
             return
         ini = f"{self.work}/{name}.ini"
         store = self.store + 1 if self.settings.has_service_proxies else self.store
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -68,6 +68,7 @@
     worker.cpuMillis = arguments["cpu-millis"].as<int>();
     worker.lateEvery = arguments["late-every"].as<int>();
     worker.lateStartDelay = Milliseconds(arguments["late-ms"].as<int>());
+    worker.dropsLateStartsOnRestart = arguments["drop-late-on-restart"].as<bool>();
     PlatformWorkerStandin standin(worker);
     standin.run([] { return isStopping.load(); });
     return 0;
@@ -95,6 +96,9 @@
         "cpu-millis", options::value<int>()->default_value(32'000), "capacity of the worker, in thousandths of a core")(
         "late-every", options::value<int>()->default_value(0), "one in so many starts stays unanswered; 0 for none")(
         "late-ms", options::value<int>()->default_value(2500), "delay after which the worker executes such a start")(
+        "drop-late-on-restart",
+        options::bool_switch(),
+        "a worker that restarts does not execute the late starts of the process before it")(
         "start-log", options::value<std::string>()->default_value(""), "file for a log of task starts; empty for none");
     options::positional_options_description positions;
     positions.add("kind", 1);
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -26,6 +26,7 @@
     int cpuMillis = 32'000; ///< Capacity, in thousandths of a core.
     int lateEvery = 0; ///< One in so many starts stays unanswered and is executed late; 0 for none.
     Milliseconds lateStartDelay{2500}; ///< Delay of such a start.
+    bool dropsLateStartsOnRestart = false; ///< Whether such a start ends with the process that has received it.
 };
 
 /** Simulates, over HTTP, a worker of the platform that runs many tasks at once. A spec is "RUN_MS/CPU_MILLIS". */
