--- a/misc/soak.py
+++ b/misc/soak.py
@@ -15,12 +15,14 @@
 
 Options add faults of which a run at the default size has none or few: several processes paused or killed together
 (--group-faults), starts that stay unanswered and are executed late all the while (--late-every), clients whose
-connection is reset during a call (--reset-share) or that submit again after their deadline (--resubmit-expired), and a
-shortage of processor time (--busy). Their random numbers are drawn apart: a seed means the same run without them.
+connection is reset during a call (--reset-share) or that submit again after their deadline (--resubmit-expired), a
+shortage of processor time (--busy), connections that go silent without an end, also those to the store and to workers
+(--silent-share, --one-way-share), quotas of processor time (--quota), clients whose connections end late at the entry
+(--late-closes), and workers that restart in series while their agents are paused or killed (--successions). Their
+random numbers are drawn apart: a seed means the same run without them.
 """
 import argparse
 import asyncio
-import base64
 import json
 import os
 import random
@@ -30,8 +32,9 @@
 import time
 from datetime import datetime, timezone
 
-from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, MAX_PROXIES, WORKERS, WORKER_CPU_MILLIS, Deployment,
-                             Proxy, Settings, http)
+from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, SERVICE_CONNECTIONS, WORKERS, WORKER_CPU_MILLIS,
+                             Deployment, Proxy, Settings, http, write_row)
+from soak_faults import inject_faults, start_optional_faults, write_odd_entries
 
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
@@ -40,6 +43,7 @@
 ATTEMPT_DEADLINE_S = 1.5  # Of each attempt of a client that submits again after its deadline.
 LONG_TASKS, LONG_RUN_MS, LONG_DEADLINE_S = 2, 1600, 4  # A run of this length outlasts the delay of a resubmission.
 MAX_ATTEMPTS = 4
+STALL_CHECK_S = 0.02
 
 
 def wall_time():
@@ -72,7 +76,7 @@
     while (remaining_s := deadline - time.monotonic()) > 0.05:
         headers = ("Host: desk.example", f"Deadline-Ms: {int(remaining_s * 1000)}", f"Request-Id: {job}")
         sent_at = wall_time()
-        response = await http(deployment.port("http", entry), "POST", f"/orders/{job}", body, headers, remaining_s)
+        response = await http(deployment.client_port(entry), "POST", f"/orders/{job}", body, headers, remaining_s)
         if record_try(record, entry, sent_at, response):
             return
         await asyncio.sleep(RESUBMIT_DELAY_S)
@@ -95,7 +99,7 @@
     for _ in range(MAX_ATTEMPTS):
         resets = rng.random() < settings.reset_share
         wait_s = rng.uniform(0, attempt_s) if resets else attempt_s
-        port = deployment.port("http", entry)
+        port = deployment.client_port(entry)
         sent_at = wall_time()
         response = await http(port, "POST", f"/orders/{record['job']}", body, headers, wait_s, resets)
         if record_try(record, entry, sent_at, response):
@@ -106,33 +110,6 @@
         entry = rng.randrange(settings.entries)
 
 
-async def write_row(deployment, table, key, value):
-    row = {"table": table, "part": "", "key": key, "value": base64.b64encode(value.encode()).decode()}
-    return await http(deployment.store, "POST", "/api/rows-tx", {"expected-rev": [], "remove": [], "writes": [row]})
-
-
-async def write_odd_entries(deployment, rng, seconds):
-    """Sends what another writer may send to the agents, and leaves rows among those of the entries."""
-    end = time.monotonic() + seconds
-    deep = "[" * 500_000 + "]" * 500_000
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.1, 1.0))
-        if rng.random() < 0.3:
-            await write_row(deployment, "entries", f"odd {rng.randrange(3)}",
-                            rng.choice(["127.0.0.1:99999", "[" * 1000, "18446744073709551616", "127.0.0.1"]))
-            continue
-        index = rng.randrange(deployment.settings.workers)
-        name = rng.choice([f"w-{index}", "w-other"])
-        beat = {"service": rng.choice(["orders", "unknown"]), "addr": f"127.0.0.1:{rng.choice([9, 99999])}",
-                "zone": "north", "state": "ready", "capacity": {"cpu": 32000, "mem-mb": 4096, "gpu": 0}, "labels": [],
-                "clock-ms": rng.choice([5, 2**53, 2**64]), "seq": rng.choice([1, 2**53, 2**64]),
-                "born": rng.choice([1, int(time.time() * 1000), 2**53])}
-        body = json.dumps(beat)
-        if rng.random() < 0.3:
-            body = body.replace('"labels": []', f'"labels": {deep}')
-        await http(deployment.port("agent_http", index), "PUT", f"/api/instances/{name}", body, timeout=1)
-
-
 async def publish_configuration(deployment):
     """Writes an operator configuration with one queue to the store."""
     configuration = {"version": 1, "routes": [{"name": "orders", "host": "desk.example", "path-prefix": "/orders/",
@@ -142,102 +119,12 @@
         await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
-async def inject_faults(deployment, seconds):
-    rng, settings = deployment.rng, deployment.settings
-    pending, end = [], time.monotonic() + seconds
-    pause, restart = deployment.pause, deployment.restart
-
-    async def inject_store_fault(fault, duration):
-        await http(deployment.store, "POST", "/faults", fault)
-        await asyncio.sleep(duration)
-        await http(deployment.store, "POST", "/faults", {})
-
-    async def inject_worker_fault(index, fault, duration):
-        await http(deployment.port("worker", index), "POST", "/faults", fault)
-        await asyncio.sleep(duration)
-        await http(deployment.port("worker", index), "POST", "/faults", {})
-
-    def inject_link_faults(duration):
-        for _, connection in list(CONNECTIONS.values()):
-            if rng.random() < 0.4:
-                continue
-            kind = rng.choice(["up", "down", "both", "reset", "delay"])
-            if kind == "reset":
-                for writer in connection["writers"]:
-                    writer.transport.abort()
-            elif kind == "delay":
-                connection["delay"] = rng.uniform(0, 0.05)
-            for direction in ("up", "down"):
-                if kind in (direction, "both"):
-                    connection[direction] = time.monotonic() + duration
-
-    nodes = [f"entry{i}" for i in range(settings.entries)] + [f"agent{i}" for i in range(settings.workers)]
-    random_node = lambda: rng.choice(nodes)
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.1, 1.2))
-        duration = rng.uniform(0.1, 3)
-        kind = rng.randrange(6)
-        if kind == 0:
-            pending.append(asyncio.create_task(pause(random_node(), duration)))
-        elif kind == 1:
-            pending.append(asyncio.create_task(restart(random_node(), signal.SIGKILL, duration)))
-        elif kind == 2:
-            pending.append(asyncio.create_task(restart(random_node(), signal.SIGTERM, 0)))
-        elif kind == 3:
-            inject_link_faults(duration)
-        elif kind == 4:
-            fault = rng.choice([{"outage": True}, {"latency_ms": 700}, {"lose_answers": True}, {"forget": True}])
-            pending.append(asyncio.create_task(inject_store_fault(fault, duration)))
-        else:
-            fault = rng.choice([{"restart": True}, {"stuck": True}, {"fail_all": True}, {"late_share": 0.1}])
-            pending.append(asyncio.create_task(inject_worker_fault(rng.randrange(settings.workers), fault, duration)))
-    await asyncio.gather(*pending)
-
-
-async def inject_group_faults(deployment, rng, seconds):
-    """Pauses several processes together, kills agents in a row, and pauses agents when an entry has just gone."""
-    settings = deployment.settings
-    pending, end = [], time.monotonic() + seconds
-    agents = [f"agent{i}" for i in range(settings.workers)]
-    entries = [f"entry{i}" for i in range(settings.entries)]
-
-    def some(names, share):
-        return rng.sample(names, max(1, int(len(names) * rng.uniform(0, share))))
-
-    async def pause_all(names, duration):
-        await asyncio.gather(*(deployment.pause(name, duration) for name in names))
-
-    async def kill_in_turn(names):
-        restarts = []
-        for name in names:
-            restarts.append(asyncio.create_task(deployment.restart(name, signal.SIGKILL, rng.uniform(0.5, 3))))
-            await asyncio.sleep(rng.uniform(0.3, 3))
-        await asyncio.gather(*restarts)
-
-    async def lose_entries_then_agents():
-        duration = rng.uniform(0.4, 4)
-        if rng.random() < 0.5:
-            lost = pause_all(some(entries, 0.3), duration)
-        else:
-            lost = deployment.restart(rng.choice(entries), signal.SIGKILL, duration)
-        lost = asyncio.create_task(lost)
-        await asyncio.sleep(rng.uniform(0, 0.8))
-        await pause_all(some(agents, 0.4), rng.uniform(0.6, 4))
-        await lost
-
-    while time.monotonic() < end:
-        await asyncio.sleep(rng.uniform(0.3, 1.5))
-        kind = rng.randrange(4)
-        if kind == 0:
-            fault = pause_all(some(agents, 0.3) + some(entries, 0.3), rng.uniform(0.4, 4))
-        elif kind == 1:
-            fault = pause_all(some(agents, 0.5), rng.uniform(0.4, 4))
-        elif kind == 2:
-            fault = kill_in_turn(rng.sample(agents, min(len(agents), rng.randint(2, 5))))
-        else:
-            fault = lose_entries_then_agents()
-        pending.append(asyncio.create_task(fault))
-    await asyncio.gather(*pending)
+async def watch_stalls(stalls):
+    """Records for how long this process has stood still, which tells a shortage of processor time from a fault."""
+    while True:
+        before = time.monotonic()
+        await asyncio.sleep(STALL_CHECK_S)
+        stalls.append(time.monotonic() - before - STALL_CHECK_S)
 
 
 def find_violations(work, results, settings):
@@ -280,12 +167,12 @@
 async def run(seed, seconds, base, work, settings):
     rng = random.Random(seed)
     CONNECTIONS.clear()
+    SERVICE_CONNECTIONS.clear()
     deployment = Deployment(work, base, rng, settings)
     signal.signal(signal.SIGTERM, lambda *_: deployment.end())
     try:
         deployment.start_by_name("store")
-        proxies = [Proxy(deployment.port("proxy", i), deployment.port("link", i))
-                   for i in range(min(settings.entries, MAX_PROXIES))]
+        proxies = deployment.make_proxies()
         for proxy in proxies:
             await proxy.start()
         await asyncio.sleep(0.3)
@@ -300,8 +187,7 @@
         results, clients = [], []
         fault_task = asyncio.create_task(inject_faults(deployment, seconds))
         odd_task = asyncio.create_task(write_odd_entries(deployment, random.Random(f"odd {seed}"), seconds))
-        group_task = asyncio.create_task(
-            inject_group_faults(deployment, random.Random(f"groups {seed}"), seconds if settings.group_faults else 0))
+        optional_tasks = start_optional_faults(deployment, seed, seconds)
         worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(settings.workers)]
         start_time = time.monotonic()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
@@ -309,22 +195,25 @@
             crashes = rng.random() < CRASHING_SHARE
             clients.append(asyncio.create_task(client(deployment, job, results, crashes, settings)))
             await asyncio.sleep(rng.uniform(0.02, 0.08) / settings.load)
-        await asyncio.gather(fault_task, odd_task, group_task)
+        await asyncio.gather(fault_task, odd_task, *optional_tasks)
         await asyncio.gather(*clients)
         deployment.stop_busy_processes()
         # All jobs must be served again after the last fault.
         final_results, clients = [], []
         await asyncio.sleep(4)
+        stalls = []
+        stall_task = asyncio.create_task(watch_stalls(stalls))
         for _ in range(30):
             clients.append(asyncio.create_task(client(deployment, f"{rng.getrandbits(64):016x}", final_results)))
             await asyncio.sleep(0.05)
         await asyncio.gather(*clients)
-        for task in worker_tasks:
+        for task in worker_tasks + [stall_task]:
             task.cancel()
         for proxy in proxies:
             proxy.server.close()
     finally:
         deployment.kill_all()
+    await asyncio.sleep(0.3)  # The proxies close the connections of the processes that have ended.
     violations = find_violations(work, results + final_results, settings)
     with open(f"{work}/clients.json", "w") as out:
         # Runs are logged with the time of the monotonic clock.
@@ -333,7 +222,8 @@
     violations += [f"{name} crashed" for name in sorted(deployment.crashed)]
     served = sum(1 for record in final_results if record.get("answer", (0, ""))[0] == 200)
     if served < len(final_results):
-        violations.append(f"after the faults {served} of {len(final_results)} jobs were served")
+        violations.append(f"after the faults {served} of {len(final_results)} jobs were served "
+                          f"(this process stood still for up to {max(stalls, default=0) * 1000:.0f} ms)")
     total = sum(1 for record in results if record.get("answer", (0, ""))[0] == 200)
     return violations, f"{total} of {len(results)} jobs served under faults"
 
@@ -358,6 +248,16 @@
                          help="share of jobs with long tasks, if clients submit again")
     options.add_argument("--resubmit-expired", action="store_true", help="clients submit again after their deadline")
     options.add_argument("--group-faults", action="store_true", help="several processes are paused or killed together")
+    options.add_argument("--silent-share", type=float, default=0,
+                         help="share of the open connections that go silent for good, at each of several times")
+    options.add_argument("--one-way-share", type=float, default=0, help="the same, in one direction")
+    options.add_argument("--quota", action="store_true", help="processes run for 10 to 50 ms of each 100 ms only")
+    options.add_argument("--late-closes", action="store_true",
+                         help="the end of a client's connection reaches the entry 20 to 200 ms late")
+    options.add_argument("--successions", action="store_true",
+                         help="workers restart in series while their agents are paused or killed")
+    options.add_argument("--drop-late-on-restart", action="store_true",
+                         help="late starts end with the worker's process, and never reach the next one")
     arguments = options.parse_args()
     settings = Settings(**{field: getattr(arguments, field) for field in Settings.__dataclass_fields__})
     if arguments.minutes:
--- a/standins/marjoramferry_standin.cpp
+++ b/standins/marjoramferry_standin.cpp
@@ -59,6 +59,7 @@
 {
     PlatformWorkerOptions worker;
     worker.listenAddress = arguments["listen"].as<std::string>();
+    worker.announcedAddress = arguments["announced-address"].as<std::string>();
     worker.agentAddress = arguments["agent"].as<std::string>();
     worker.name = arguments["name"].as<std::string>();
     worker.service = arguments["service"].as<std::string>();
@@ -67,6 +68,7 @@
     worker.cpuMillis = arguments["cpu-millis"].as<int>();
     worker.lateEvery = arguments["late-every"].as<int>();
     worker.lateStartDelay = Milliseconds(arguments["late-ms"].as<int>());
+    worker.dropsLateStartsOnRestart = arguments["drop-late-on-restart"].as<bool>();
     PlatformWorkerStandin standin(worker);
     standin.run([] { return isStopping.load(); });
     return 0;
@@ -84,6 +86,9 @@
     description.add_options()("kind", options::value<std::string>(), "table, endpoint, store or worker")(
         "listen", options::value<std::string>()->required(), "host:port to listen on")(
         "agent", options::value<std::string>()->default_value(""), "host:port of the HTTP interface of the agent")(
+        "announced-address",
+        options::value<std::string>()->default_value(""),
+        "host:port at which the agent calls the worker, if not the one it listens on")(
         "name", options::value<std::string>()->default_value("endpoint"), "name of the endpoint or worker")(
         "service", options::value<std::string>()->default_value("orders"), "service of the endpoint or worker")(
         "slots", options::value<int>()->default_value(8), "limit of concurrent tasks of the endpoint")(
@@ -91,6 +96,9 @@
         "cpu-millis", options::value<int>()->default_value(32'000), "capacity of the worker, in thousandths of a core")(
         "late-every", options::value<int>()->default_value(0), "one in so many starts stays unanswered; 0 for none")(
         "late-ms", options::value<int>()->default_value(2500), "delay after which the worker executes such a start")(
+        "drop-late-on-restart",
+        options::bool_switch(),
+        "a worker that restarts does not execute the late starts of the process before it")(
         "start-log", options::value<std::string>()->default_value(""), "file for a log of task starts; empty for none");
     options::positional_options_description positions;
     positions.add("kind", 1);
