Links: an agent whose messages don't arrive connects again, and an entry closes the link that it has left

Cause: an agent judged a connection by the arrival of the entry's messages, whatever old message they echoed. After it had connected anew, the entry kept the former socket, whose end never arrives.

Change: a connection counts as working while the echo advances. The entry closes an agent's former link when the agent sends over another one.

Two unit tests guard the two decisions.

--- a/connection/link_loop.cpp
+++ b/connection/link_loop.cpp
@@ -41,6 +41,11 @@
     Message message;
 };
 
+struct CloseLinkConnection
+{
+    LinkId link;
+};
+
 struct SendPeerMessage
 {
     std::string address;
@@ -52,7 +57,7 @@
     std::string address;
 };
 
-using LoopCommand = std::variant<SendLinkMessage, SendPeerMessage, ResetPeerConnection>;
+using LoopCommand = std::variant<SendLinkMessage, CloseLinkConnection, SendPeerMessage, ResetPeerConnection>;
 
 struct SocketAddress
 {
@@ -112,6 +117,7 @@
     void addConnection(std::unique_ptr<Connection> connection);
     void executeCommands();
     void execute(const SendLinkMessage &command);
+    void execute(const CloseLinkConnection &command);
     void execute(const SendPeerMessage &command);
     void execute(const ResetPeerConnection &command);
     Connection *findOrOpenPeer(const std::string &address);
@@ -238,6 +244,13 @@
     }
 }
 
+void LinkLoop::Impl::execute(const CloseLinkConnection &command)
+{
+    if (const auto found = links_.find(command.link); found != links_.end()) {
+        close(*found->second);
+    }
+}
+
 void LinkLoop::Impl::execute(const SendPeerMessage &command)
 {
     if (Connection *connection = findOrOpenPeer(command.address)) {
@@ -422,6 +435,11 @@
     impl_->enqueue(SendLinkMessage{link, std::move(message)});
 }
 
+void LinkLoop::closeLink(LinkId link)
+{
+    impl_->enqueue(CloseLinkConnection{link});
+}
+
 void LinkLoop::sendToPeer(std::string address, Message message)
 {
     impl_->enqueue(SendPeerMessage{std::move(address), std::move(message)});
--- a/connection/link_loop.h
+++ b/connection/link_loop.h
@@ -58,6 +58,7 @@
     void stop();
 
     void sendToLink(LinkId link, Message message);
+    void closeLink(LinkId link);
     void sendToPeer(std::string address, Message message);
 
     /** Resets the connection to a peer. Unsent data is discarded, including data in the kernel's send buffer. */
--- a/event/link_event.h
+++ b/event/link_event.h
@@ -18,6 +18,11 @@
     Message message;
 };
 
+struct CloseLink
+{
+    LinkId link = LocalLink;
+};
+
 struct LinkMessage
 {
     LinkId link = LocalLink;
--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -236,6 +236,7 @@
 {
     std::visit(Overloaded{
                    [&](SendToLink &send) { links_.sendToLink(send.link, std::move(send.message)); },
+                   [&](const CloseLink &close) { links_.closeLink(close.link); },
                    [&](SendToPeer &send) { links_.sendToPeer(std::move(send.address), std::move(send.message)); },
                    [&](const CallResponse &response) { jobServer_.reply(platform::toHttpResponse(response)); },
                    [&](const PlacementExplained &answer) { metricsServer_.reply(toHttpResponse(answer)); },
--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -135,16 +135,21 @@
     if (batch->incarnation != entry.incarnation || batch->session > entry.session) {
         beginSession(event.address, entry, *batch, now);
     }
+    // Messages of the entry may arrive although it receives none. An entry on standby echoes rarely.
+    const bool endsStandby = entry.isStandby && !batch->standby;
+    if (!entry.isConnected || endsStandby || batch->echoedUs > entry.lastEchoUs) {
+        entry.lastReceivedAt = now;
+    }
+    entry.lastEchoUs = batch->echoedUs;
     if (!entry.isConnected) {
         entry.isConnected = true;
         entry.reconnectDelay = options_.reconnectDelay;
         log(LogEvent::Level::Info, "entry_connected", {{"entry", event.address}, {"incarnation", batch->incarnation}});
     }
-    entry.lastReceivedAt = now;
     entryLiveness_.recordEcho(entry.incarnation, entry.session, MonotonicTime(Microseconds(batch->echoedUs)));
     entry.operatorPosition = batch->operatorPosition;
     entry.wantsOperatorState = batch->wantsOperatorState;
-    if (entry.isStandby && !batch->standby) {
+    if (endsStandby) {
         entry.lastSentAt = MonotonicTime(); // The entry orders runs only after it has received the current state.
     }
     entry.isStandby = batch->standby;
--- a/request/work_command.h
+++ b/request/work_command.h
@@ -9,7 +9,7 @@
 namespace marjoramferry {
 
 /** A command that a module of a WorkEntry issues. */
-using WorkCommand = std::variant<SendToLink, LogEvent, Observation>;
+using WorkCommand = std::variant<SendToLink, CloseLink, LogEvent, Observation>;
 
 using WorkOutbox = Outbox<WorkCommand>;
 
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -61,12 +61,7 @@
     directory_.sendBatches(operatorState_, isStoreStale(now), drainingSince_.has_value(), now);
     const auto append = [this](std::vector<WorkCommand> commands) {
         for (WorkCommand &command : commands) {
-            std::visit(Overloaded{
-                           [this](SendToLink &each) { out_.emplace_back(std::move(each)); },
-                           [this](LogEvent &each) { out_.emplace_back(std::move(each)); },
-                           [this](Observation &each) { out_.emplace_back(std::move(each)); },
-                       },
-                       command);
+            std::visit([this](auto &each) { out_.emplace_back(std::move(each)); }, command);
         }
     };
     append(scheduler_.takeCommands());
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -62,7 +62,7 @@
                                     DrainRequested>;
 
 using WorkEntryCommand
-    = std::variant<SendToLink, SendToPeer, CallResponse, PlacementExplained, LogEvent, Observation, Stop>;
+    = std::variant<SendToLink, CloseLink, SendToPeer, CallResponse, PlacementExplained, LogEvent, Observation, Stop>;
 
 /**
  * Decision logic of an entry whose tasks share workers: dispatches calls and messages to the scheduler and the worker
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -84,6 +84,10 @@
         }
     }
     if (view.link != link) {
+        if (view.link != LocalLink) {
+            // The agent has given it up. If it is silent, its end will never arrive.
+            out_.add(CloseLink{view.link});
+        }
         agents_.erase(view.link);
         agents_[link] = batch.agent;
         view.link = link;
--- a/tests/request/work_agent_test.cpp
+++ b/tests/request/work_agent_test.cpp
@@ -201,3 +201,26 @@
     fixture.agent.handle(Tick{}, crashed + Milliseconds(300));
     CHECK(fixture.flushMessages(crashed + Milliseconds(300)).at(3).crashes.size() == 1);
 }
+
+// Guards against an agent that gets no orders for good: its messages no longer arrive, without an end of the
+// connection, while those of the entry do, with the echo of an old message.
+TEST_CASE("An agent whose messages do not reach the entry connects again, though those of the entry arrive")
+{
+    ConnectedAgent fixture;
+    const Milliseconds timeout = ConnectedAgent::options(false).entryTimeout;
+    std::optional<MonotonicTime> resetAt;
+    for (MonotonicTime now = Start; !resetAt && now < Start + 2 * timeout; now += Milliseconds(50)) {
+        fixture.orderAge = std::chrono::duration_cast<Milliseconds>(now - Start);
+        for (int entry = 0; entry < Entries; ++entry) {
+            fixture.deliverBatch(entry, {}, now);
+        }
+        fixture.agent.handle(Tick{}, now);
+        const auto commands = fixture.agent.flush(now);
+        const bool isReset = std::ranges::any_of(
+            commands, [](const WorkAgentCommand &each) { return std::holds_alternative<ResetPeer>(each); });
+        resetAt = isReset ? std::optional(now) : std::nullopt;
+    }
+    REQUIRE(resetAt);
+    CHECK(*resetAt >= Start + timeout);
+    CHECK(*resetAt <= Start + timeout + Milliseconds(50));
+}
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -378,3 +378,17 @@
     CHECK(replacedBy("w-2") == "w-1");
     CHECK(replacedBy("w-3") == "w-2");
 }
+
+// Guards against sockets that an entry keeps for good: the end of a silent connection never arrives.
+TEST_CASE("The link that an agent has given up is closed once the agent sends over another one")
+{
+    WorkerDirectory directory("entry", "entry-1", WorkerDirectoryOptions{});
+    REQUIRE(directory.handleBatch(1, batchFrom("first", 10), Start));
+    directory.takeCommands();
+    REQUIRE(directory.handleBatch(2, batchFrom("first", 20), Start));
+    const auto commands = directory.takeCommands();
+    const auto close = std::ranges::find_if(
+        commands, [](const WorkCommand &each) { return std::holds_alternative<CloseLink>(each); });
+    REQUIRE(close != commands.end());
+    CHECK(std::get<CloseLink>(*close).link == 1);
+}
