--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -207,6 +207,8 @@
     entry.ends = {};
     entry.instructions = {};
     entry.operatorPositionSent = 0;
+    entry.lastStateSent = {};
+    entry.lastCrashSent = 0;
 }
 
 void WorkAgent::acceptOrder(const Entry &entry,
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -73,6 +73,7 @@
         view.subsetWeight = hashOf(entry_, batch.agent, SubsetSeed);
         view.incarnation = batch.incarnation;
         view.hasClearedRuns = false;
+        view.state = {};
         view.mayHaveEarlierRuns = view.mayHaveRuns();
         if (view.mayHaveEarlierRuns) {
             view.earlierWorkers.insert(view.lastWorker);
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -178,7 +178,7 @@
  */
 MonotonicTime WorkerSupervisor::latestLeaseEnd() const
 {
-    if (hasUnknownRuns_) {
+    if (unknownRunsCall_) {
         return MonotonicTime();
     }
     const auto first = std::ranges::min_element(runs_, {}, [](const auto &each) { return each.second.latestLeaseEnd; });
@@ -420,6 +420,8 @@
             sendPoll(Milliseconds(0), false, now);
         } else if (reply.rejection == Rejection::OtherIncarnation) {
             handleReplacement(now);
+        } else if (lastReplyAt_ <= poll.sentAt) {
+            lease_.recordMissingReply(); // The lease was not extended, and polls are repeated after a delay.
         }
         return;
     }
@@ -522,7 +524,11 @@
             "unknown_run_stopped",
             {{"run", describe(key)}, {"worker", worker_->identity.id}});
     }
-    hasUnknownRuns_ = unknownRuns > 0;
+    if (unknownRuns > 0) {
+        unknownRunsCall_ = std::max(unknownRunsCall_.value_or(0), poll.callId);
+    } else if (listing.isComplete && poll.callId > unknownRunsCall_.value_or(0)) {
+        unknownRunsCall_.reset();
+    }
     const bool wasReconciled = isReconciled_;
     isReconciled_ = unknownRuns == 0 && listing.isComplete && poll.fence >= requiredFence_;
     if (isReconciled_ && !wasReconciled) {
@@ -613,7 +619,7 @@
             stopRun(run, now);
         }
     }
-    if (lease_.hasUnansweredCalls() && !runs_.empty() && lease_.isExpired(now)) {
+    if (lease_.hasUnansweredCalls() && !runs_.empty() && lease_.isExpired(now) && !isLeaseUnknown_) {
         log(LogEvent::Level::Warning,
             "lease_lapsed",
             {{"worker", worker_->identity.id},
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -227,7 +227,8 @@
     MonotonicTime lastPollAt_;
     /** Calls of before may extend the lease of the present process until it has accepted the required fence. */
     bool isLeaseUnknown_ = false;
-    bool hasUnknownRuns_ = false; ///< The last listing has runs that this agent has not started.
+    /** The newest call whose listing has runs that this agent has not started, until a later listing has none. */
+    std::optional<int64_t> unknownRunsCall_;
     bool isReconciled_ = false; ///< The worker accepted the required fence and has no unknown runs.
     bool isDraining_ = false;
     Output output_;
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -155,7 +155,7 @@
     lastReplyAt_ = now;
     lease_.reset();
     lastCallBeforeProcess_ = lastCallId_;
-    hasUnknownRuns_ = false;
+    unknownRunsCall_.reset();
     // For a lease end of the old clock, in a call that was under way, the new process grants the longest lease.
     lease_.assumeExtendedTo(now + timing_.longestLease);
     isLeaseUnknown_ = true;
@@ -191,10 +191,13 @@
     lease_.reset(); // The announced clock is not used until a reply of the process has confirmed it.
     lastEndSeen_ = 0;
     lastEndAcknowledged_ = 0;
+    if (hasAnswered()) {
+        raiseFence(fence_ + 1); // The process may be the next one under an ID that was known before.
+    }
     acceptedFence_ = 0;
     isReconciled_ = false;
     isLeaseUnknown_ = true;
-    hasUnknownRuns_ = false;
+    unknownRunsCall_.reset();
     pendingPolls_.clear();
     requiredFence_ = fence_;
     log(LogEvent::Level::Info,
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -392,3 +392,15 @@
     REQUIRE(close != commands.end());
     CHECK(std::get<CloseLink>(*close).link == 1);
 }
+
+// Guards against a live agent that an entry ignores for good.
+TEST_CASE("An agent that was replaced by mistake is heard again once the other incarnation is silent")
+{
+    WorkerDirectory directory("entry", "entry-1", WorkerDirectoryOptions{});
+    REQUIRE(directory.handleBatch(1, batchFrom("live", 10), Start));
+    directory.handleLinkClosed(1);
+    REQUIRE(directory.handleBatch(2, batchFrom("ended", 5), Start));
+    const MonotonicTime silent = Start + WorkerDirectoryOptions().sessionTimeout;
+    CHECK_FALSE(directory.handleBatch(3, batchFrom("live", 20), silent));
+    CHECK(directory.handleBatch(3, batchFrom("live", 30), silent + Milliseconds(1)));
+}
