--- /dev/null
+++ b/tests/support/trouble_plan.cpp
@@ -0,0 +1,175 @@
+#include "tests/support/trouble_plan.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace marjoramferry::testing {
+
+namespace {
+
+constexpr int Entries = 3;
+constexpr int Agents = 5;
+
+void cut(WorkSimulation &simulation, int entry, int agent, const PlannedTrouble &trouble)
+{
+    simulation.blockMessages(entry,
+                             agent,
+                             trouble.kind != Trouble::CutToEntry,
+                             trouble.kind != Trouble::CutToAgent,
+                             Milliseconds(trouble.durationMs));
+}
+
+void apply(WorkSimulation &simulation, const PlannedTrouble &trouble)
+{
+    const Milliseconds duration(trouble.durationMs);
+    switch (trouble.kind) {
+    case Trouble::FreezeAgent:
+        return simulation.freezeAgent(trouble.agent, duration);
+    case Trouble::KillAgent:
+        return simulation.killAgent(trouble.agent, duration);
+    case Trouble::FreezeEntry:
+        return simulation.freezeEntry(trouble.entry, duration);
+    case Trouble::KillEntry:
+        return simulation.killEntry(trouble.entry, duration);
+    case Trouble::CutBothDirections:
+    case Trouble::CutToAgent:
+    case Trouble::CutToEntry:
+        return cut(simulation, trouble.entry, trouble.agent, trouble);
+    case Trouble::CutOffAgent:
+        for (int entry = 0; entry < Entries; ++entry) {
+            cut(simulation, entry, trouble.agent, trouble);
+        }
+        return;
+    case Trouble::CutOffEntry:
+        for (int agent = 0; agent < Agents; ++agent) {
+            cut(simulation, trouble.entry, agent, trouble);
+        }
+        return;
+    case Trouble::RestartWorker:
+        return simulation.restartWorker(trouble.agent, true);
+    case Trouble::ReplaceWorker:
+        return simulation.restartWorker(trouble.agent, false);
+    case Trouble::ResetCallers:
+        return simulation.resetCallers(trouble.entry, 1);
+    case Trouble::GiveUpCalls:
+        return simulation.giveUpCalls(trouble.entry, 1);
+    }
+}
+
+/** Time from one trouble to the next: often within tens of milliseconds, or near the end of the proof of life. */
+int drawOffset(std::mt19937_64 &random)
+{
+    switch (std::uniform_int_distribution<int>(0, 3)(random)) {
+    case 0:
+    case 1:
+        return static_cast<int>(std::exponential_distribution<double>(1 / 30.0)(random));
+    case 2:
+        return std::uniform_int_distribution<int>(640, 720)(random);
+    default:
+        return std::uniform_int_distribution<int>(0, 1800)(random);
+    }
+}
+
+/** Submits a mix of jobs of 60 to 1,400 ms to random entries, at 70% of the workers' capacity. */
+void scheduleJobs(WorkSimulation &simulation, uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    constexpr int Jobs = 90;
+    constexpr int IntervalMs = 45;
+    for (int i = 0; i < Jobs; ++i) {
+        constexpr int Cpu = 3100;
+        SimulatedJob job{absl::StrCat("job-", i), "quote", 8, 60, 60, Cpu};
+        const auto kind = random() % 3;
+        if (kind == 1) {
+            job = {job.id, "survey", 3, 1400, 1400, Cpu};
+        } else if (kind == 2) {
+            job = {job.id, "status", 3, 250, 250, Cpu};
+        }
+        const int entry = static_cast<int>(random() % Entries);
+        simulation.schedule(Milliseconds(i * IntervalMs),
+                            [=, &simulation] { simulation.submit(job, entry, Milliseconds(2500)); });
+    }
+}
+
+} // namespace
+
+std::string describe(const PlannedTrouble &trouble)
+{
+    constexpr std::array Names{"FreezeAgent",
+                               "KillAgent",
+                               "FreezeEntry",
+                               "KillEntry",
+                               "CutBothDirections",
+                               "CutToAgent",
+                               "CutToEntry",
+                               "CutOffAgent",
+                               "CutOffEntry",
+                               "RestartWorker",
+                               "ReplaceWorker",
+                               "ResetCallers",
+                               "GiveUpCalls"};
+    return absl::StrCat(Names.at(static_cast<size_t>(trouble.kind)),
+                        " at ",
+                        trouble.atMs,
+                        " entry ",
+                        trouble.entry,
+                        " agent ",
+                        trouble.agent,
+                        " for ",
+                        trouble.durationMs);
+}
+
+uint64_t planSeed(uint64_t seed, Trouble first, Trouble second)
+{
+    constexpr uint64_t SeedFactor = 1000;
+    constexpr int PairFactor = 20;
+    return seed * SeedFactor + static_cast<uint64_t>(static_cast<int>(first) * PairFactor + static_cast<int>(second));
+}
+
+Plan makePlan(uint64_t seed, Trouble first, Trouble second)
+{
+    std::mt19937_64 random(seed);
+    const auto draw = [&](int from, int to) { return std::uniform_int_distribution<int>(from, to)(random); };
+    Plan plan;
+    plan.options.seed = seed;
+    plan.options.entries = Entries;
+    plan.options.agents = Agents;
+    plan.options.callersReturn = true;
+    constexpr std::array LateShares{0.0, 0.058, 0.2, 0.5};
+    plan.options.lateOrderShare = LateShares.at(static_cast<size_t>(draw(0, 3)));
+    plan.options.lateStopShare = draw(0, 3) == 0 ? 0.058 : 0.0;
+    plan.options.lostResponseShare = draw(0, 3) == 0 ? 0.05 : 0.0;
+    constexpr int Pairs = 2;
+    for (int pair = 0; pair < Pairs; ++pair) {
+        int atMs = 100 + pair * 1800 + draw(0, 800);
+        const int entry = draw(0, Entries - 1);
+        const int agent = draw(0, Agents - 1);
+        for (const Trouble kind : {first, second}) {
+            const bool isElsewhere = draw(0, 4) == 0;
+            plan.troubles.push_back({kind,
+                                     atMs,
+                                     isElsewhere ? draw(0, Entries - 1) : entry,
+                                     isElsewhere ? draw(0, Agents - 1) : agent,
+                                     draw(400, 2200)});
+            atMs += drawOffset(random);
+        }
+    }
+    return plan;
+}
+
+std::vector<std::string> findViolations(const Plan &plan)
+{
+    WorkSimulation simulation(plan.options);
+    simulation.runFor(Milliseconds(500));
+    scheduleJobs(simulation, plan.options.seed);
+    for (const PlannedTrouble &trouble : plan.troubles) {
+        simulation.schedule(Milliseconds(trouble.atMs), [&simulation, trouble] { apply(simulation, trouble); });
+    }
+    simulation.runFor(Milliseconds(20'000));
+    return simulation.violations();
+}
+
+} // namespace marjoramferry::testing
