Simulation: silent connections, clocks that differ, late ends of calls, quotas and several machines

Late starts can be limited to the process that they were sent to, which separates violations of that known cause from others.

--- a/tests/promises/resubmission_test.cpp
+++ b/tests/promises/resubmission_test.cpp
@@ -22,8 +22,10 @@
 void checkAllPairs(uint64_t firstSeed, uint64_t seeds)
 {
     for (uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
-        for (int pair = 0; pair < TroubleKinds * TroubleKinds; ++pair) {
-            checkPlan(seed, static_cast<Trouble>(pair / TroubleKinds), static_cast<Trouble>(pair % TroubleKinds));
+        for (int pair = 0; pair < FirstFurtherTrouble * FirstFurtherTrouble; ++pair) {
+            checkPlan(seed,
+                      static_cast<Trouble>(pair / FirstFurtherTrouble),
+                      static_cast<Trouble>(pair % FirstFurtherTrouble));
         }
     }
 }
--- a/tests/support/trouble_plan.cpp
+++ b/tests/support/trouble_plan.cpp
@@ -12,6 +12,7 @@
 
 constexpr int Entries = 3;
 constexpr int Agents = 5;
+constexpr uint64_t SeedFactor = 1000;
 
 void cut(WorkSimulation &simulation, int entry, int agent, const PlannedTrouble &trouble)
 {
@@ -22,6 +23,81 @@
                              Milliseconds(trouble.durationMs));
 }
 
+/** Most open connections, each in one direction or both. */
+void silenceLinks(WorkSimulation &simulation, const PlannedTrouble &trouble)
+{
+    std::mt19937_64 random(trouble.seed);
+    std::uniform_int_distribution<int> kind(0, 4);
+    for (int entry = 0; entry < Entries; ++entry) {
+        for (int agent = 0; agent < Agents; ++agent) {
+            const int drawn = kind(random);
+            const bool isSilent = drawn > 0;
+            simulation.silenceLink(entry, agent, isSilent && drawn != 1, isSilent && drawn != 2);
+        }
+    }
+}
+
+void silenceWorkerCalls(WorkSimulation &simulation, const PlannedTrouble &trouble)
+{
+    std::mt19937_64 random(trouble.seed);
+    constexpr int MaxIdleConnections = 8;
+    for (int agent = 0; agent < Agents; ++agent) {
+        simulation.silenceWorkerCalls(agent, std::uniform_int_distribution<int>(0, MaxIdleConnections)(random));
+    }
+}
+
+void throttle(WorkSimulation &simulation, const PlannedTrouble &trouble)
+{
+    std::mt19937_64 random(trouble.seed);
+    const auto drawRunTime = [&] { return Milliseconds(std::uniform_int_distribution<int>(5, 50)(random)); };
+    const Milliseconds duration(trouble.durationMs);
+    const bool isEverywhere = trouble.kind == Trouble::ThrottleAll;
+    for (int agent = 0; agent < Agents; ++agent) {
+        if (isEverywhere || (trouble.kind == Trouble::ThrottleAgent && agent == trouble.agent)) {
+            simulation.throttleAgent(agent, drawRunTime(), duration);
+        }
+    }
+    for (int entry = 0; entry < Entries; ++entry) {
+        if (isEverywhere || (trouble.kind == Trouble::ThrottleEntry && entry == trouble.entry)) {
+            simulation.throttleEntry(entry, drawRunTime(), duration);
+        }
+    }
+}
+
+/** Kills or freezes some agents, some entries, or some of both. */
+void applyToSeveral(WorkSimulation &simulation, const PlannedTrouble &trouble)
+{
+    std::mt19937_64 random(trouble.seed);
+    constexpr double AffectedShare = 0.6;
+    std::bernoulli_distribution isAffected(AffectedShare);
+    const Milliseconds duration(trouble.durationMs);
+    const Trouble kind = trouble.kind;
+    const bool isKill
+        = kind == Trouble::KillAgents || kind == Trouble::KillEntries || kind == Trouble::KillAgentsAndEntries;
+    const bool affectsAgents = kind != Trouble::FreezeEntries && kind != Trouble::KillEntries;
+    const bool affectsEntries = kind != Trouble::FreezeAgents && kind != Trouble::KillAgents;
+    for (int agent = 0; affectsAgents && agent < Agents; ++agent) {
+        if (!isAffected(random)) {
+            continue;
+        }
+        if (isKill) {
+            simulation.killAgent(agent, duration);
+        } else {
+            simulation.freezeAgent(agent, duration);
+        }
+    }
+    for (int entry = 0; affectsEntries && entry < Entries; ++entry) {
+        if (!isAffected(random)) {
+            continue;
+        }
+        if (isKill) {
+            simulation.killEntry(entry, duration);
+        } else {
+            simulation.freezeEntry(entry, duration);
+        }
+    }
+}
+
 void apply(WorkSimulation &simulation, const PlannedTrouble &trouble)
 {
     const Milliseconds duration(trouble.durationMs);
@@ -56,6 +132,24 @@
         return simulation.resetCallers(trouble.entry, 1);
     case Trouble::GiveUpCalls:
         return simulation.giveUpCalls(trouble.entry, 1);
+    case Trouble::SilenceLinks:
+        return silenceLinks(simulation, trouble);
+    case Trouble::SilenceWorkerCalls:
+        return silenceWorkerCalls(simulation, trouble);
+    case Trouble::SilenceAll:
+        silenceWorkerCalls(simulation, trouble);
+        return silenceLinks(simulation, trouble);
+    case Trouble::ThrottleAgent:
+    case Trouble::ThrottleEntry:
+    case Trouble::ThrottleAll:
+        return throttle(simulation, trouble);
+    case Trouble::FreezeAgents:
+    case Trouble::KillAgents:
+    case Trouble::FreezeEntries:
+    case Trouble::KillEntries:
+    case Trouble::FreezeAgentsAndEntries:
+    case Trouble::KillAgentsAndEntries:
+        return applyToSeveral(simulation, trouble);
     }
 }
 
@@ -98,19 +192,14 @@
 
 std::string describe(const PlannedTrouble &trouble)
 {
-    constexpr std::array Names{"FreezeAgent",
-                               "KillAgent",
-                               "FreezeEntry",
-                               "KillEntry",
-                               "CutBothDirections",
-                               "CutToAgent",
-                               "CutToEntry",
-                               "CutOffAgent",
-                               "CutOffEntry",
-                               "RestartWorker",
-                               "ReplaceWorker",
-                               "ResetCallers",
-                               "GiveUpCalls"};
+    constexpr std::array Names{"FreezeAgent",         "KillAgent",     "FreezeEntry",        "KillEntry",
+                               "CutBothDirections",   "CutToAgent",    "CutToEntry",         "CutOffAgent",
+                               "CutOffEntry",         "RestartWorker", "ReplaceWorker",      "ResetCallers",
+                               "GiveUpCalls",         "SilenceLinks",  "SilenceWorkerCalls", "SilenceAll",
+                               "ThrottleAgent",       "ThrottleEntry", "ThrottleAll",        "FreezeAgents",
+                               "KillAgents",          "FreezeEntries", "KillEntries",        "FreezeAgentsAndEntries",
+                               "KillAgentsAndEntries"};
+    static_assert(Names.size() == TroubleKinds);
     return absl::StrCat(Names.at(static_cast<size_t>(trouble.kind)),
                         " at ",
                         trouble.atMs,
@@ -124,12 +213,11 @@
 
 uint64_t planSeed(uint64_t seed, Trouble first, Trouble second)
 {
-    constexpr uint64_t SeedFactor = 1000;
     constexpr int PairFactor = 20;
     return seed * SeedFactor + static_cast<uint64_t>(static_cast<int>(first) * PairFactor + static_cast<int>(second));
 }
 
-Plan makePlan(uint64_t seed, Trouble first, Trouble second)
+Plan makePlan(uint64_t seed, Trouble first, Trouble second, const PlayConditions &conditions)
 {
     std::mt19937_64 random(seed);
     const auto draw = [&](int from, int to) { return std::uniform_int_distribution<int>(from, to)(random); };
@@ -142,18 +230,30 @@
     plan.options.lateOrderShare = LateShares.at(static_cast<size_t>(draw(0, 3)));
     plan.options.lateStopShare = draw(0, 3) == 0 ? 0.058 : 0.0;
     plan.options.lostResponseShare = draw(0, 3) == 0 ? 0.05 : 0.0;
+    constexpr Milliseconds MaxClockOffset{600'000};
+    plan.options.maxClockOffset = conditions.hasDifferentClocks ? MaxClockOffset : Milliseconds(0);
+    plan.options.maxClockRateError = conditions.maxClockRateError;
+    constexpr Milliseconds MinCallerEndDelay{20};
+    plan.options.minCallerEndDelay = std::min(MinCallerEndDelay, conditions.maxCallerEndDelay);
+    plan.options.maxCallerEndDelay = conditions.maxCallerEndDelay;
+    plan.options.lateOrdersReachSuccessors = conditions.lateOrdersReachSuccessors;
     constexpr int Pairs = 2;
     for (int pair = 0; pair < Pairs; ++pair) {
         int atMs = 100 + pair * 1800 + draw(0, 800);
         const int entry = draw(0, Entries - 1);
         const int agent = draw(0, Agents - 1);
+        if (conditions.maxCallerEndDelay > Milliseconds(0)) {
+            plan.troubles.push_back({Trouble::ResetCallers, atMs, entry, agent, 0});
+            atMs += draw(0, static_cast<int>(conditions.maxCallerEndDelay.count()));
+        }
         for (const Trouble kind : {first, second}) {
             const bool isElsewhere = draw(0, 4) == 0;
             plan.troubles.push_back({kind,
                                      atMs,
                                      isElsewhere ? draw(0, Entries - 1) : entry,
                                      isElsewhere ? draw(0, Agents - 1) : agent,
-                                     draw(400, 2200)});
+                                     draw(400, 2200),
+                                     seed * SeedFactor + plan.troubles.size()});
             atMs += drawOffset(random);
         }
     }
@@ -161,6 +261,11 @@
 }
 
 std::vector<std::string> findViolations(const Plan &plan)
+{
+    return play(plan).violations;
+}
+
+PlayResult play(const Plan &plan)
 {
     WorkSimulation simulation(plan.options);
     simulation.runFor(Milliseconds(500));
@@ -169,7 +274,7 @@
         simulation.schedule(Milliseconds(trouble.atMs), [&simulation, trouble] { apply(simulation, trouble); });
     }
     simulation.runFor(Milliseconds(20'000));
-    return simulation.violations();
+    return {simulation.violations(), simulation.log()};
 }
 
 } // namespace marjoramferry::testing
--- a/tests/support/trouble_plan.h
+++ b/tests/support/trouble_plan.h
@@ -22,8 +22,22 @@
     ReplaceWorker,
     ResetCallers,
     GiveUpCalls,
+    SilenceLinks, ///< Of all machines.
+    SilenceWorkerCalls, ///< Of all agents.
+    SilenceAll, ///< Both.
+    ThrottleAgent,
+    ThrottleEntry,
+    ThrottleAll, ///< All agents and entries.
+    FreezeAgents, ///< Some of them, like the following ones.
+    KillAgents,
+    FreezeEntries,
+    KillEntries,
+    FreezeAgentsAndEntries,
+    KillAgentsAndEntries,
 };
-constexpr int TroubleKinds = static_cast<int>(Trouble::GiveUpCalls) + 1;
+/** The first of the kinds that resubmission_test.cpp doesn't pair. */
+constexpr int FirstFurtherTrouble = static_cast<int>(Trouble::SilenceLinks);
+constexpr int TroubleKinds = static_cast<int>(Trouble::KillAgentsAndEntries) + 1;
 
 struct PlannedTrouble
 {
@@ -32,6 +46,17 @@
     int entry = 0;
     int agent = 0;
     int durationMs = 0;
+    uint64_t seed = 0; ///< Of what a kind draws by itself, such as the machines that it affects.
+};
+
+/** What holds for all of a play. */
+struct PlayConditions
+{
+    bool hasDifferentClocks = false; ///< The machines' clocks have offsets of up to 10 minutes.
+    double maxClockRateError = 0;
+    bool lateOrdersReachSuccessors = true; ///< A late start is executed by the next process of its worker, too.
+    /** If not zero, each pair of troubles begins with callers that leave their entry, which learns it this late. */
+    Milliseconds maxCallerEndDelay{0};
 };
 
 struct Plan
@@ -46,9 +71,17 @@
 uint64_t planSeed(uint64_t seed, Trouble first, Trouble second);
 
 /** A plan with two occurrences of the pair, and the shares of late and unanswered calls. */
-Plan makePlan(uint64_t seed, Trouble first, Trouble second);
+Plan makePlan(uint64_t seed, Trouble first, Trouble second, const PlayConditions &conditions = {});
 
 /** Plays the plan beside jobs whose callers send them again, and returns the violated invariants. */
 std::vector<std::string> findViolations(const Plan &plan);
 
+/** The same, with the log of the play if the plan records it. */
+struct PlayResult
+{
+    std::vector<std::string> violations;
+    std::vector<std::string> log;
+};
+PlayResult play(const Plan &plan);
+
 } // namespace marjoramferry::testing
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -11,6 +11,7 @@
 
 constexpr Milliseconds TickInterval{10};
 constexpr Microseconds NodeLatency{1400};
+constexpr uint64_t DisruptionSeedOffset = 1'000'000'007;
 
 /** A queue; priority 0 is the most urgent and has the shortest tasks. */
 wire::Route makeRoute(const std::string &name, int priority)
@@ -41,11 +42,18 @@
 WorkSimulation::WorkSimulation(SimulationOptions options)
     : options_(std::move(options))
     , random_(options_.seed)
+    , disruptionRandom_(options_.seed + DisruptionSeedOffset)
     , now_(std::chrono::hours(1))
     , entries_(static_cast<size_t>(options_.entries))
     , agents_(static_cast<size_t>(options_.agents))
     , announcementSequences_(static_cast<size_t>(options_.agents))
+    , silentCalls_(static_cast<size_t>(options_.agents))
 {
+    const auto drawClock = [this](auto &node) {
+        node.clock = MachineClock::draw(options_.maxClockOffset, options_.maxClockRateError, disruptionRandom_);
+    };
+    std::ranges::for_each(agents_, drawClock);
+    std::ranges::for_each(entries_, drawClock);
     for (int i = 0; i < options_.agents; ++i) {
         workers_.push_back(nullptr);
         restartWorker(i, false);
@@ -168,6 +176,7 @@
         const auto link = links_.find({agent, each->address});
         if (link != links_.end()) {
             closeConnections([&](const Connection &conn) { return &conn == &connections_.at(link->second); });
+            links_.erase(link);
         }
     } else if (const auto *each = std::get_if<WorkerCall>(&command)) {
         callWorker(agent, *each);
@@ -193,7 +202,8 @@
         ++entry;
     }
     LinkId &link = links_[{agent, address}];
-    if (link == 0 || !connections_.at(link).isOpen) {
+    // An agent doesn't learn that the entry has closed a connection that is silent.
+    if (link == 0 || !(connections_.at(link).isOpen || connections_.at(link).isSilentToAgent)) {
         link = ++lastLink_;
         connections_[link] = Connection{entry, agent, entries_.at(static_cast<size_t>(entry)).generation};
     }
@@ -202,7 +212,7 @@
     actions_[{connection.lastArrivalAtEntry, ++lastActionId_}]
         = [this, id = link, message = std::move(message)]() mutable {
               const Connection &conn = connections_.at(id);
-              if (conn.isOpen) {
+              if (conn.isOpen && !conn.isSilentToEntry) {
                   deliverToEntry(conn.entry, conn.entryGeneration, LinkMessage{id, std::move(message)});
               }
           };
@@ -221,7 +231,7 @@
     actions_[{connection.lastArrivalAtAgent, ++lastActionId_}]
         = [this, link, generation, message = std::move(message)]() mutable {
               const Connection &conn = connections_.at(link);
-              if (conn.isOpen) {
+              if (conn.isOpen && !conn.isSilentToAgent) {
                   deliverToAgent(conn.agent, generation, PeerMessage{addressOf(conn.entry), std::move(message)});
               }
           };
@@ -237,13 +247,16 @@
         const LinkId id = link;
         const int64_t agentGeneration = agents_.at(static_cast<size_t>(connection.agent)).generation;
         actions_[{arrivalTime(connection.entry, connection.agent, false), ++lastActionId_}] = [this, id] {
-            deliverToEntry(connections_.at(id).entry, connections_.at(id).entryGeneration, LinkClosed{id});
+            const Connection &conn = connections_.at(id);
+            if (!conn.isSilentToEntry) {
+                deliverToEntry(conn.entry, conn.entryGeneration, LinkClosed{id});
+            }
         };
         actions_[{arrivalTime(connection.entry, connection.agent, true), ++lastActionId_}]
             = [this, id, agentGeneration] {
                   const Connection &conn = connections_.at(id);
                   const auto current = links_.find({conn.agent, addressOf(conn.entry)});
-                  if (current == links_.end() || current->second == id) {
+                  if (!conn.isSilentToAgent && (current == links_.end() || current->second == id)) {
                       deliverToAgent(conn.agent, agentGeneration, PeerClosed{addressOf(conn.entry)});
                   }
               };
@@ -257,7 +270,7 @@
         return;
     }
     closeConnections([&](const Connection &conn) { return conn.entry == entry; });
-    node = EntryNode{nullptr, ++lastGeneration_};
+    node = EntryNode{nullptr, ++lastGeneration_, node.clock};
     for (uint64_t token = 1; token <= calls_.size(); ++token) {
         if (submissions_.at(token - 1).entry == entry && isWaiting(token)) {
             calls_.at(token - 1).isConnectionLost = true;
@@ -274,7 +287,8 @@
         return;
     }
     closeConnections([&](const Connection &conn) { return conn.agent == agent; });
-    node = AgentNode{nullptr, ++lastGeneration_};
+    std::erase_if(links_, [&](const auto &each) { return each.first.first == agent; });
+    node = AgentNode{nullptr, ++lastGeneration_, node.clock};
     schedule(downtime, [this, agent] { startAgent(agent); });
 }
 
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -3,6 +3,7 @@
 #include "request/work_agent.h"
 #include "request/work_entry.h"
 #include "standins/worker_model.h"
+#include "tests/support/machine_clock.h"
 
 #include <functional>
 #include <map>
@@ -36,10 +37,15 @@
     uint64_t seed = 1;
     double lostResponseShare = 0; ///< Fraction of starts executed at once whose response is lost.
     double lateOrderShare = 0; ///< Fraction of starts executed seconds later, without a response.
+    bool lateOrdersReachSuccessors = true; ///< Also by the next process of the worker.
     bool offers = false; ///< The setting `offers` of entries and agents.
     double lateStopShare = 0; ///< Fraction of stops executed seconds later, without a response.
     bool callersReturn = false; ///< Callers send a job again, with a new deadline, after theirs has passed.
     bool recordsLog = false; ///< See log().
+    Milliseconds maxClockOffset{0}; ///< Each machine's clock is ahead of now() by up to this.
+    double maxClockRateError = 0; ///< Each machine's clock is fast or slow by up to this fraction.
+    Milliseconds minCallerEndDelay{0}; ///< From the end of a caller's connection to its arrival at the entry.
+    Milliseconds maxCallerEndDelay{0};
 };
 
 /** A job of equal tasks. */
@@ -96,6 +102,19 @@
     void giveUpCalls(int entry, double share);
     /** Delays messages between an entry and an agent, in the given directions, by up to @p duration. */
     void blockMessages(int entry, int agent, bool toAgent, bool toEntry, Milliseconds duration);
+    /**
+     * The open connection between an entry and an agent delivers nothing more in the given directions, and stays open
+     * at both ends. A new connection works.
+     */
+    void silenceLink(int entry, int agent, bool toAgent, bool toEntry);
+    /**
+     * The pending calls to the worker remain unanswered, and so do the next ones, which are sent over as many idle
+     * connections. The worker executes half of the latter.
+     */
+    void silenceWorkerCalls(int agent, int idleConnections);
+    /** Within @p duration the process runs for the first @p runTime of each 100 ms only, as under a processor quota. */
+    void throttleEntry(int entry, Milliseconds runTime, Milliseconds duration);
+    void throttleAgent(int agent, Milliseconds runTime, Milliseconds duration);
     /** Kills the worker of an agent and starts another one, under the same id if @p keepsId. */
     void restartWorker(int agent, bool keepsId);
     /** Delivers the announcement of a process that isn't there, under the worker's id if @p usesId. */
@@ -170,6 +189,8 @@
         bool isOpen = true;
         MonotonicTime lastArrivalAtAgent{}; ///< Messages of one connection are delivered in order.
         MonotonicTime lastArrivalAtEntry{};
+        bool isSilentToAgent = false;
+        bool isSilentToEntry = false;
     };
 
     /** Where a process is when it freezes. */
@@ -184,6 +205,7 @@
     {
         std::unique_ptr<Core> core; ///< Null while the process is down.
         int64_t generation = 0; ///< Events for an earlier generation are dropped.
+        MachineClock clock{};
         bool isFrozen = false; ///< Until all events that arrived meanwhile are handled.
         MonotonicTime frozenAt{};
         MonotonicTime frozenUntil{};
@@ -196,6 +218,25 @@
     using EntryNode = Node<WorkEntry, WorkEntryEvent, WorkEntryCommand>;
     using AgentNode = Node<WorkAgent, WorkAgentEvent, WorkAgentCommand>;
 
+    /** A call to a worker that an answer is expected for. */
+    struct PendingCall
+    {
+        int agent = 0;
+        int64_t generation = 0;
+        int64_t callId = 0;
+        MonotonicTime sentAt;
+        MonotonicTime timeoutAt;
+    };
+
+    /** The connections of an agent to its worker that have gone silent. */
+    struct SilentCalls
+    {
+        int64_t generation = 0; ///< Of the agent.
+        MonotonicTime since;
+        int idleConnections = 0; ///< The next calls are sent over these.
+        int64_t workerStartTimeMs = 0;
+    };
+
     /** A caller's job and its place among the sends of that job. */
     struct Submission
     {
@@ -229,22 +270,26 @@
     void execute(int agent, WorkAgentCommand &command);
     void recordDispatch(const LogEvent &event);
     void recordLog(const std::string &process, const LogEvent &event);
-    void replyToAgent(int agent, int64_t generation, WorkerReply reply, MonotonicTime timeoutAt);
+    void replyToAgent(const PendingCall &pending, WorkerReply reply);
+    void leaveUnanswered(const PendingCall &pending);
+    bool isSilent(const PendingCall &pending) const;
+    /** Sends the call over a connection that is silent, if the agent has one left. */
+    bool sendIfSilent(const PendingCall &pending, const WorkerCall &call);
     void sendToEntry(int agent, const std::string &address, Message message);
     void sendToAgent(LinkId link, Message message);
     void closeConnections(const std::function<bool(const Connection &)> &matches);
     void callWorker(int agent, const WorkerCall &call);
     WorkerReply executeStart(int agent, const StartRun &start);
     void crashIfDue(int agent, const RunKey &key);
-    void refuseCall(int agent, int64_t generation, const WorkerCall &call);
-    void
-    respondToPoll(int agent, int64_t generation, const PollRuns &poll, MonotonicTime until, MonotonicTime timeoutAt);
+    void refuseCall(const PendingCall &pending);
+    void respondToPoll(const PendingCall &pending, const PollRuns &poll, MonotonicTime until);
     void announceWorker(int agent);
     void tickEntry(int entry, int64_t generation);
     void tickAgent(int agent, int64_t generation);
     void onResponse(const CallResponse &response);
     void sendCall(const Submission &submission);
     void resend(uint64_t token);
+    void endCallerConnection(uint64_t token);
     bool isWaiting(uint64_t token) const;
     int capacityOf(int agent) const;
     MonotonicTime arrivalTime(int entry, int agent, bool isToAgent) const;
@@ -253,6 +298,7 @@
 
     const SimulationOptions options_;
     std::mt19937_64 random_;
+    std::mt19937_64 disruptionRandom_; ///< For what is drawn beside random_, so that the seeds keep their meaning.
     MonotonicTime now_;
     int64_t lastActionId_ = 0;
     std::map<std::pair<MonotonicTime, int64_t>, std::function<void()>> actions_;
@@ -261,6 +307,7 @@
     std::vector<std::unique_ptr<WorkerModel>> workers_; ///< Index is the agent's. Null while the worker is down.
     std::vector<std::pair<int, std::unique_ptr<WorkerModel>>> deadWorkers_; ///< With their agent's index.
     std::vector<int64_t> announcementSequences_; ///< Index is the agent's.
+    std::vector<SilentCalls> silentCalls_; ///< Index is the agent's.
     std::map<LinkId, Connection> connections_;
     std::map<std::pair<int, std::string>, LinkId> links_; ///< Key is the agent's index and the entry's address.
     std::map<std::tuple<int, int, bool>, MonotonicTime> blockedUntil_; ///< Key is entry, agent and isToAgent.
--- a/tests/support/work_simulation_callers.cpp
+++ b/tests/support/work_simulation_callers.cpp
@@ -53,7 +53,7 @@
             return;
         }
         calls_.at(token - 1).isAbandoned = true;
-        entries_.at(static_cast<size_t>(submissions_.at(token - 1).entry)).closedCalls.push_back(token);
+        endCallerConnection(token);
         if (options_.callersReturn) {
             resend(token);
         }
@@ -75,6 +75,23 @@
     schedule(ResubmitDelay, [this, next] { sendCall(next); });
 }
 
+/** The entry learns that the caller has left in the pass after the end of the connection has arrived. */
+void WorkSimulation::endCallerConnection(uint64_t token)
+{
+    const auto entry = static_cast<size_t>(submissions_.at(token - 1).entry);
+    if (options_.maxCallerEndDelay == Milliseconds(0)) {
+        entries_.at(entry).closedCalls.push_back(token);
+        return;
+    }
+    std::uniform_int_distribution<int64_t> delay(options_.minCallerEndDelay.count(),
+                                                 options_.maxCallerEndDelay.count());
+    schedule(Milliseconds(delay(disruptionRandom_)), [this, entry, token, generation = entries_.at(entry).generation] {
+        if (entries_.at(entry).generation == generation) {
+            entries_.at(entry).closedCalls.push_back(token);
+        }
+    });
+}
+
 void WorkSimulation::onResponse(const CallResponse &response)
 {
     if (!isWaiting(response.token)) {
@@ -93,7 +110,7 @@
     for (uint64_t token = 1; token <= calls_.size(); ++token) {
         if (submissions_.at(token - 1).entry == entry && isWaiting(token) && drawBool(share)) {
             calls_.at(token - 1).isConnectionLost = true;
-            entries_.at(static_cast<size_t>(entry)).closedCalls.push_back(token);
+            endCallerConnection(token);
             resend(token);
         }
     }
@@ -104,7 +121,7 @@
     for (uint64_t token = 1; token <= calls_.size(); ++token) {
         if (submissions_.at(token - 1).entry == entry && isWaiting(token) && drawBool(share)) {
             calls_.at(token - 1).isAbandoned = true;
-            entries_.at(static_cast<size_t>(entry)).closedCalls.push_back(token);
+            endCallerConnection(token);
         }
     }
 }
--- a/tests/support/work_simulation_passes.cpp
+++ b/tests/support/work_simulation_passes.cpp
@@ -80,7 +80,7 @@
         return;
     }
     handlePass(entry, {std::move(event)}, true);
-    executeAll(entry, node.core->flush(now_));
+    executeAll(entry, node.core->flush(node.clock.read(now_)));
 }
 
 void WorkSimulation::deliverToAgent(int agent, int64_t generation, WorkAgentEvent event)
@@ -93,7 +93,7 @@
         return;
     }
     handlePass(agent, {std::move(event)});
-    executeAll(agent, node.core->flush(now_));
+    executeAll(agent, node.core->flush(node.clock.read(now_)));
 }
 
 template<typename NodeType, typename Event>
@@ -107,8 +107,8 @@
     } else if (node.freezePoint == FreezePoint::AfterTake) {
         node.taken.push_back(event);
     } else {
-        node.core->handle(event, now_);
-        std::ranges::move(node.core->flush(now_), std::back_inserter(node.heldCommands));
+        node.core->handle(event, node.clock.read(now_));
+        std::ranges::move(node.core->flush(node.clock.read(now_)), std::back_inserter(node.heldCommands));
     }
     return true;
 }
@@ -121,18 +121,19 @@
     for (const WorkEntryEvent &event : events) {
         const auto *submission = std::get_if<SubmitWork>(&event);
         if (submission == nullptr || !endedCalls_.contains(submission->address.token)) {
-            node.core->handle(event, now_);
+            node.core->handle(event, node.clock.read(now_));
         }
     }
     for (const uint64_t token : closed) {
-        node.core->handle(CallAbandoned{token}, now_);
+        node.core->handle(CallAbandoned{token}, node.clock.read(now_));
     }
 }
 
 void WorkSimulation::handlePass(int agent, const std::vector<WorkAgentEvent> &events)
 {
     auto &node = agents_.at(static_cast<size_t>(agent));
-    std::ranges::for_each(events, [&](const WorkAgentEvent &event) { node.core->handle(event, now_); });
+    std::ranges::for_each(events,
+                          [&](const WorkAgentEvent &event) { node.core->handle(event, node.clock.read(now_)); });
 }
 
 void WorkSimulation::executeAll(int entry, std::vector<WorkEntryCommand> commands)
@@ -210,11 +211,11 @@
     executeAll(entry, std::exchange(node.heldCommands, {}));
     if (!node.taken.empty()) {
         handlePass(entry, std::exchange(node.taken, {}), false);
-        executeAll(entry, node.core->flush(now_));
+        executeAll(entry, node.core->flush(node.clock.read(now_)));
     }
     if (!node.deferred.empty()) {
         handlePass(entry, takePass(node.deferred), true);
-        executeAll(entry, node.core->flush(now_));
+        executeAll(entry, node.core->flush(node.clock.read(now_)));
     }
     node.isFrozen = !node.deferred.empty();
     if (node.isFrozen) {
@@ -235,11 +236,11 @@
     }
     if (!node.taken.empty()) {
         handlePass(agent, std::exchange(node.taken, {}));
-        executeAll(agent, node.core->flush(now_));
+        executeAll(agent, node.core->flush(node.clock.read(now_)));
     }
     if (node.core && !node.deferred.empty()) {
         handlePass(agent, takePass(node.deferred));
-        executeAll(agent, node.core->flush(now_));
+        executeAll(agent, node.core->flush(node.clock.read(now_)));
     }
     node.isFrozen = !node.deferred.empty();
     if (node.isFrozen) {
--- a/tests/support/work_simulation_workers.cpp
+++ b/tests/support/work_simulation_workers.cpp
@@ -19,22 +19,33 @@
 
 void WorkSimulation::callWorker(int agent, const WorkerCall &call)
 {
-    const int64_t generation = agents_.at(static_cast<size_t>(agent)).generation;
-    if (const auto *start = std::get_if<StartRun>(&call); start != nullptr && now_ > start->notAfter) {
+    const auto &node = agents_.at(static_cast<size_t>(agent));
+    const int64_t generation = node.generation;
+    const auto *timed = std::get_if<StartRun>(&call);
+    if (timed != nullptr && node.clock.read(now_) > timed->notAfter) {
         WorkerReply notSent;
-        notSent.callId = start->callId;
+        notSent.callId = timed->callId;
         notSent.outcome = CallOutcome::NotSent;
         schedule(Milliseconds(0), [this, agent, generation, notSent] { deliverToAgent(agent, generation, notSent); });
         return;
     }
     const MonotonicTime timeoutAt = now_ + std::visit([](const auto &each) { return each.timeout; }, call);
+    const int64_t callId = std::visit([](const auto &each) { return each.callId; }, call);
+    const PendingCall pending{agent, generation, callId, now_, timeoutAt};
+    if (sendIfSilent(pending, call)) {
+        return;
+    }
     const bool isLost = std::holds_alternative<StartRun>(call) && drawBool(options_.lostResponseShare);
     const bool isLate = std::holds_alternative<StartRun>(call) && !isLost && drawBool(options_.lateOrderShare);
     if (isLate || isLost) {
         std::uniform_int_distribution<int> delay(2000, 6000);
         const auto &start = std::get<StartRun>(call);
-        schedule(Milliseconds(isLost ? 0 : delay(random_)), [this, agent, start] {
-            if (workers_.at(static_cast<size_t>(agent))) {
+        const auto &receiver = workers_.at(static_cast<size_t>(agent));
+        const int64_t startTimeMs = receiver ? receiver->identity().startTimeMs : 0;
+        schedule(Milliseconds(isLost ? 0 : delay(random_)), [this, agent, start, startTimeMs] {
+            const auto &current = workers_.at(static_cast<size_t>(agent));
+            const bool isSuccessor = current && current->identity().startTimeMs != startTimeMs;
+            if (current && (!isSuccessor || options_.lateOrdersReachSuccessors)) {
                 executeStart(agent, start);
             }
         });
@@ -50,41 +61,42 @@
                 worker(agent).call(call, now_);
             }
         });
-        WorkerReply noReply;
-        noReply.callId = std::get<StopRun>(call).callId;
-        actions_[{timeoutAt, ++lastActionId_}]
-            = [this, agent, generation, noReply] { deliverToAgent(agent, generation, noReply); };
+        leaveUnanswered(pending);
         return;
     }
-    actions_[{now_ + WorkerLatency, ++lastActionId_}] = [this, agent, generation, call, timeoutAt] {
-        if (!workers_.at(static_cast<size_t>(agent))) {
-            refuseCall(agent, generation, call);
+    actions_[{now_ + WorkerLatency, ++lastActionId_}] = [this, pending, call] {
+        if (!workers_.at(static_cast<size_t>(pending.agent))) {
+            refuseCall(pending);
             return;
         }
         if (const auto *start = std::get_if<StartRun>(&call)) {
-            replyToAgent(agent, generation, executeStart(agent, *start), timeoutAt);
+            replyToAgent(pending, executeStart(pending.agent, *start));
             return;
         }
         if (const auto *poll = std::get_if<PollRuns>(&call)) {
-            worker(agent).call(call, now_);
-            respondToPoll(agent, generation, *poll, now_ + poll->wait, timeoutAt);
+            worker(pending.agent).call(call, now_);
+            respondToPoll(pending, *poll, now_ + poll->wait);
             return;
         }
-        replyToAgent(agent, generation, worker(agent).call(call, now_), timeoutAt);
+        replyToAgent(pending, worker(pending.agent).call(call, now_));
     };
 }
 
 /** The HTTP client reports a call as timed out if it is past its time-out, even if the response has arrived. */
-void WorkSimulation::replyToAgent(int agent, int64_t generation, WorkerReply reply, MonotonicTime timeoutAt)
+void WorkSimulation::replyToAgent(const PendingCall &pending, WorkerReply reply)
 {
-    const auto &node = agents_.at(static_cast<size_t>(agent));
+    if (isSilent(pending)) {
+        leaveUnanswered(pending);
+        return;
+    }
+    const auto &node = agents_.at(static_cast<size_t>(pending.agent));
     constexpr double TimeoutShare = 0.5;
-    if (node.isFrozen && node.frozenUntil > timeoutAt && drawBool(TimeoutShare)) {
+    if (node.isFrozen && node.frozenUntil > pending.timeoutAt && drawBool(TimeoutShare)) {
         WorkerReply noReply;
         noReply.callId = reply.callId;
         reply = noReply;
     }
-    deliverToAgent(agent, generation, std::move(reply));
+    deliverToAgent(pending.agent, pending.generation, std::move(reply));
 }
 
 WorkerReply WorkSimulation::executeStart(int agent, const StartRun &start)
@@ -122,34 +134,36 @@
     });
 }
 
-void WorkSimulation::refuseCall(int agent, int64_t generation, const WorkerCall &call)
+void WorkSimulation::refuseCall(const PendingCall &pending)
 {
+    if (isSilent(pending)) {
+        leaveUnanswered(pending);
+        return;
+    }
     WorkerReply refused;
-    refused.callId = std::visit([](const auto &each) { return each.callId; }, call);
+    refused.callId = pending.callId;
     refused.outcome = CallOutcome::NotSent;
     refused.isRefused = true;
-    deliverToAgent(agent, generation, refused);
+    deliverToAgent(pending.agent, pending.generation, refused);
 }
 
-void WorkSimulation::respondToPoll(
-    int agent, int64_t generation, const PollRuns &poll, MonotonicTime until, MonotonicTime timeoutAt)
+void WorkSimulation::respondToPoll(const PendingCall &pending, const PollRuns &poll, MonotonicTime until)
 {
-    if (!workers_.at(static_cast<size_t>(agent))) {
-        refuseCall(agent, generation, poll);
+    if (!workers_.at(static_cast<size_t>(pending.agent))) {
+        refuseCall(pending);
         return;
     }
-    WorkerModel &model = worker(agent);
+    WorkerModel &model = worker(pending.agent);
     model.advance(now_);
     if (model.hasEndsAfter(poll.acknowledgedEnd) || now_ >= until) {
         PollRuns immediatePoll = poll;
         immediatePoll.leaseEndMs.reset();
-        replyToAgent(agent, generation, model.call(immediatePoll, now_), timeoutAt);
+        replyToAgent(pending, model.call(immediatePoll, now_));
         return;
     }
     // Polls every millisecond, because a run that starts later may end before all current runs.
-    actions_[{now_ + Milliseconds(1), ++lastActionId_}] = [this, agent, generation, poll, until, timeoutAt] {
-        respondToPoll(agent, generation, poll, until, timeoutAt);
-    };
+    actions_[{now_ + Milliseconds(1), ++lastActionId_}]
+        = [this, pending, poll, until] { respondToPoll(pending, poll, until); };
 }
 
 WorkerModel &WorkSimulation::worker(int agent)
