Tests: silent connections, quotas, clocks and late ends beside each other trouble

Two faults are found and listed. An entry that learns 110 ms or more after the fact that its caller has left proves to be alive until then, so the lease of the runs of a frozen agent ends after the job is sent again. Agents that hear an entry keep a connection on which the entry doesn't hear them, so that it has no worker until one of them restarts.

--- /dev/null
+++ b/tests/promises/deployment_troubles_test.cpp
@@ -0,0 +1,188 @@
+#include "tests/support/trouble_plan.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+
+using namespace marjoramferry;
+using namespace marjoramferry::testing;
+
+namespace {
+
+constexpr Milliseconds MaxCallerEndDelay{200};
+
+void checkNoViolation(const std::vector<std::string> &violations)
+{
+    INFO(absl::StrJoin(violations, "\n"));
+    CHECK(violations.empty());
+}
+
+void checkPlan(uint64_t seed, Trouble first, Trouble second, const PlayConditions &conditions = {})
+{
+    const Plan plan = makePlan(planSeed(seed, first, second), first, second, conditions);
+    std::vector<std::string> troubles;
+    std::ranges::transform(plan.troubles, std::back_inserter(troubles), describe);
+    INFO("seed " << seed << "\n" << absl::StrJoin(troubles, "\n"));
+    checkNoViolation(findViolations(plan));
+}
+
+bool isFurther(int kind)
+{
+    return kind >= FirstFurtherTrouble;
+}
+
+using PairFilter = std::function<bool(int first, int second)>;
+
+void checkPairs(uint64_t seed, const PairFilter &isSelected, const PlayConditions &conditions = {})
+{
+    for (int pair = 0; pair < TroubleKinds * TroubleKinds; ++pair) {
+        const int first = pair / TroubleKinds;
+        const int second = pair % TroubleKinds;
+        if (isSelected(first, second)) {
+            checkPlan(seed, static_cast<Trouble>(first), static_cast<Trouble>(second), conditions);
+        }
+    }
+}
+
+void hunt(const PairFilter &isSelected, const PlayConditions &conditions = {})
+{
+    constexpr uint64_t FirstSeed = 2;
+    constexpr uint64_t LastSeed = 41;
+    for (uint64_t seed = FirstSeed; seed <= LastSeed; ++seed) {
+        checkPairs(seed, isSelected, conditions);
+    }
+}
+
+bool isPairOfFurther(int first, int second)
+{
+    return isFurther(first) || isFurther(second);
+}
+
+bool isPairOfOthers(int first, int second)
+{
+    return !isPairOfFurther(first, second);
+}
+
+/** Fraction of the jobs that complete at an entry whose links went silent 3 s (`contact-ms`) before or earlier. */
+double completeShareAfterSilence(bool toAgent, bool toEntry)
+{
+    constexpr Milliseconds ContactTime{3000};
+    constexpr int Jobs = 100;
+    SimulationOptions options;
+    WorkSimulation simulation(options);
+    simulation.runFor(Milliseconds(500));
+    for (int agent = 0; agent < options.agents; ++agent) {
+        simulation.silenceLink(0, agent, toAgent, toEntry);
+    }
+    simulation.runFor(ContactTime);
+    for (int i = 0; i < Jobs; ++i) {
+        const SimulatedJob job{absl::StrCat("job-", i), "quote", 4, 60, 60, 6200};
+        simulation.schedule(Milliseconds(100 * i), [=, &simulation] { simulation.submit(job, 0, Milliseconds(3000)); });
+    }
+    simulation.runFor(Milliseconds(15'000));
+    return static_cast<double>(simulation.completeCalls()) / Jobs;
+}
+
+} // namespace
+
+// Guards against rules that hold beside reset connections and freezes, but not beside connections that go silent at
+// both ends, a processor quota, or troubles of several machines. Every third pair, so that the case stays short.
+TEST_CASE("Silent connections, quotas and several machines: no task runs twice at the same time")
+{
+    checkPairs(
+        1, [](int first, int second) { return isFurther(first) && !isFurther(second) && (first + second) % 3 == 0; });
+}
+
+// Guards against a time of one process that another one compares with its own clock.
+TEST_CASE("Machines whose clocks differ: no task runs twice at the same time")
+{
+    PlayConditions conditions;
+    conditions.hasDifferentClocks = true;
+    checkPairs(
+        1,
+        [](int first, int second) { return isPairOfOthers(first, second) && (first + second) % 7 == 0; },
+        conditions);
+}
+
+// Guards against a proof of life that outlasts the caller: the entry renews it until the end of the connection has
+// arrived, but the 1.3 s after which the caller sends the job again count from when it left.
+TEST_CASE("The end of a call arrives late, the entry dies and an agent freezes: the job sent again runs alone")
+{
+    constexpr Milliseconds Phases{200}; // The longest interval between two renewals of a lease.
+    constexpr Milliseconds EarliestFreeze{690}; // Runs are stopped 700 ms after the last proof that the entry is alive.
+    constexpr Milliseconds LatestFreeze{715};
+    constexpr Milliseconds UntilEntryDies = MaxCallerEndDelay - Milliseconds(5);
+    for (Milliseconds phase{0}; phase < Phases; phase += Milliseconds(22)) {
+        for (Milliseconds freeze = EarliestFreeze; freeze <= LatestFreeze; freeze += Milliseconds(5)) {
+            SimulationOptions options;
+            options.minCallerEndDelay = MaxCallerEndDelay;
+            options.maxCallerEndDelay = MaxCallerEndDelay;
+            WorkSimulation simulation(options);
+            simulation.runFor(Milliseconds(500));
+            simulation.submit({"job", "survey", 2 * options.agents, 3000, 3000, 6200}, 0, Milliseconds(9000));
+            // Short jobs, so that the entries prove often that they are alive, and agents renew their leases often.
+            for (int ms = 0; ms < 1000 + phase.count(); ms += 5) {
+                simulation.schedule(Milliseconds(ms), [&simulation, ms] {
+                    const SimulatedJob job{absl::StrCat("short-", ms), "quote", 2, 20, 20, 6200};
+                    simulation.submit(job, ms / 5 % 2, Milliseconds(9000));
+                });
+            }
+            simulation.runFor(Milliseconds(300) + phase);
+            simulation.resetCallers(0, 1);
+            simulation.runFor(UntilEntryDies);
+            simulation.killEntry(0, Milliseconds(9000));
+            simulation.runFor(freeze);
+            simulation.freezeAgent(0, Milliseconds(3000));
+            simulation.freezeAgent(1, Milliseconds(3000)); // The clock of its worker is 2% slow.
+            simulation.runFor(Milliseconds(9000));
+            INFO("left " << 800 + phase.count() << " ms after the start, frozen " << freeze.count()
+                         << " ms after the entry died");
+            checkNoViolation(simulation.violations());
+        }
+    }
+}
+
+// Guards against a start that outlasts its process, as in resubmission_test.cpp, beside further troubles.
+TEST_CASE("Late starts that reach a successor beside further troubles: no task runs twice at the same time")
+{
+    checkPlan(8, Trouble::RestartWorker, Trouble::FreezeAgentsAndEntries);
+    checkPlan(8, Trouble::KillAgents, Trouble::RestartWorker);
+    PlayConditions conditions;
+    conditions.maxCallerEndDelay = MaxCallerEndDelay;
+    checkPlan(2, Trouble::KillAgent, Trouble::RestartWorker, conditions);
+}
+
+// Guards against a silent connection that its ends keep for as long as one of them hears the other.
+TEST_CASE("Links go silent towards the agents or in both directions: the entry serves jobs again")
+{
+    const bool isBoth = GENERATE(true, false);
+    CHECK(completeShareAfterSilence(true, isBoth) == 1);
+}
+
+TEST_CASE("Links go silent towards the entry: the entry serves jobs again")
+{
+    CHECK(completeShareAfterSilence(false, true) == 1);
+}
+
+// By hand, 40 seeds of each pair.
+TEST_CASE("Hunt: silent connections, quotas and several machines", "[.hunt]")
+{
+    hunt(isPairOfFurther);
+}
+
+TEST_CASE("Hunt: machines whose clocks differ", "[.hunt]")
+{
+    PlayConditions conditions;
+    conditions.hasDifferentClocks = true;
+    hunt(isPairOfOthers, conditions);
+}
+
+TEST_CASE("Hunt: ends of callers' connections that arrive late", "[.hunt]")
+{
+    PlayConditions conditions;
+    conditions.maxCallerEndDelay = MaxCallerEndDelay;
+    hunt(isPairOfOthers, conditions);
+}
