--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -265,8 +265,10 @@
     supervisor.handleReply(incomplete, Start + Milliseconds(201));
     const PollRuns fourth = nextPoll(Start + Milliseconds(320));
     CHECK(fourth.leaseEndMs.value() <= leaseEndMs);
-    supervisor.handleReply(listed(fourth.callId, {known}), Start + Milliseconds(321));
-    CHECK(nextPoll(Start + Milliseconds(440)).leaseEndMs.value() > leaseEndMs);
+    WorkerReply complete = listed(fourth.callId, {known});
+    complete.clockMs = 520;
+    supervisor.handleReply(complete, Start + Milliseconds(321));
+    CHECK(OutputByKind(supervisor.takeOutput()).polls.back().leaseEndMs.value() > leaseEndMs);
 }
 
 // Guards against two runs of a task: a late start of before reached the next process under the same ID.
