Lease limit: leave 150 ms for the end of a caller's connection to reach its entry

Cause: the bounds added up to 1,300 ms, the time after which a job is sent to another entry, counted from the last echo of an entry that had not learned that its caller was gone. Where the end of the caller's connection arrives 110 ms late or more, and the entry dies and an agent freezes at the worst moments, a run outlasted the sum.

Change: the lease of an entry's runs ends 150 ms earlier, 1,078 ms after the last proof that the entry is alive.

By the sum alone, delays up to 175 ms are covered. 200 ms would leave a limit below the longest lease, so that no run could start in the first milliseconds after a worker was found.

--- a/request/worker_lease.cpp
+++ b/request/worker_lease.cpp
@@ -38,7 +38,8 @@
 
 Milliseconds leaseLimitFor(const WorkerLimits &limits)
 {
-    const Milliseconds end = std::min(limits.resubmissionDelay, sessionTimeoutFor(limits, DefaultEntryTimeout));
+    const Milliseconds end = std::min(limits.resubmissionDelay - limits.callerEndDelay,
+                                      sessionTimeoutFor(limits, DefaultEntryTimeout));
     return (end - limits.maxStopTime) * 100 / (100 + ProcessClockPercent);
 }
 
