--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -138,7 +138,7 @@
     // Messages of the entry may arrive although it receives none. An entry on standby echoes rarely.
     const bool endsStandby = entry.isStandby && !batch->standby;
     if (!entry.isConnected || endsStandby || batch->echoedUs > entry.lastEchoUs) {
-        entry.lastReceivedAt = now;
+        entry.lastRoundTripAt = now;
     }
     entry.lastEchoUs = batch->echoedUs;
     if (!entry.isConnected) {
@@ -255,7 +255,7 @@
     if (entry.isConnected) {
         log(LogEvent::Level::Warning,
             "entry_disconnected",
-            {{"entry", event.address}, {"silent_ms", absl::StrCat(millisecondsBetween(entry.lastReceivedAt, now))}});
+            {{"entry", event.address}, {"silent_ms", absl::StrCat(millisecondsBetween(entry.lastRoundTripAt, now))}});
         entry.lastConnectAt = MonotonicTime();
     }
     entry.isConnected = false;
@@ -281,10 +281,10 @@
 void WorkAgent::maintainConnection(const std::string &address, Entry &entry, MonotonicTime now)
 {
     if (entry.isConnected) {
-        if (now - entry.lastReceivedAt > (entry.isStandby ? options_.standbyTimeout : options_.entryTimeout)) {
+        if (now - entry.lastRoundTripAt > (entry.isStandby ? options_.standbyTimeout : options_.entryTimeout)) {
             log(LogEvent::Level::Warning,
                 "entry_timed_out",
-                {{"entry", address}, {"silent_ms", absl::StrCat(millisecondsBetween(entry.lastReceivedAt, now))}});
+                {{"entry", address}, {"silent_ms", absl::StrCat(millisecondsBetween(entry.lastRoundTripAt, now))}});
             entry.isConnected = false;
             entry.lastConnectAt = MonotonicTime();
             offers_.removeEntry(address);
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -117,8 +117,8 @@
         DuplicateFilter instructions;
         int64_t operatorPosition = 0;
         int64_t operatorPositionSent = 0;
-        /** When a message showed that the connection works in both directions. */
-        MonotonicTime lastReceivedAt;
+        /** When a message last showed that the connection works in both directions. */
+        MonotonicTime lastRoundTripAt;
         int64_t lastEchoUs = 0; ///< Send time of the newest message that the entry has echoed.
         MonotonicTime lastSentAt;
         MonotonicTime lastConnectAt;
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -78,7 +78,7 @@
     }
 }
 
-/** Ends all runs. The worker executes no start of before once it has accepted the raised fence. */
+/** Ends all runs. Once the worker has accepted the raised fence, it executes no earlier start. */
 void WorkerSupervisor::dropAllRuns(const std::string &reason, MonotonicTime now)
 {
     if (!runs_.empty()) {
@@ -629,7 +629,7 @@
             reportCrash(wire::CrashStatus::DETECTED, "lease_lapsed", now);
         }
         dropAllRuns(crashEvidence_.isDetected() ? "worker_crashed" : "lease_lapsed", now);
-        sendPoll(Milliseconds(0), false, now); // A pending poll carries the fence of before.
+        sendPoll(Milliseconds(0), false, now); // A pending poll carries the earlier fence.
     }
     const bool isSilent
         = now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -225,7 +225,7 @@
     std::map<int64_t, RunKey> startCalls_; ///< Unanswered StartRun calls, by call id.
     std::map<int64_t, PendingPoll> pendingPolls_;
     MonotonicTime lastPollAt_;
-    /** Calls of before may extend the lease of the present process until it has accepted the required fence. */
+    /** Earlier calls may extend the lease of the present process until it has accepted the required fence. */
     bool isLeaseUnknown_ = false;
     /** The newest call whose listing has runs that this agent has not started, until a later listing has none. */
     std::optional<int64_t> unknownRunsCall_;
--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -100,7 +100,7 @@
 }
 
 // Guards against two runs of a task: the first copy of its start may reach the new process until that one has accepted
-// a higher fence, although the run was confirmed by the process of before.
+// a higher fence, although the run was confirmed by the former process.
 TEST_CASE("A run whose start was sent twice is gone after a restart only once the new process has accepted a fence")
 {
     ReconciledSupervisor fixture;
@@ -179,8 +179,8 @@
     CHECK_FALSE(supervisor.isReconciled());
 }
 
-// Guards against two runs of a task: the answer to a call to the worker of before ended the runs on its successor.
-TEST_CASE("A late answer for the worker of before ends no run on its successor")
+// Guards against two runs of a task: the answer to a call to the former worker ended the runs on its successor.
+TEST_CASE("A late answer of the former worker ends no run on its successor")
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
@@ -214,7 +214,7 @@
     CHECK(std::ranges::count(after.ends, 3, [](const EndedRun &end) { return end.orderId.runNumber; }) == 0);
 }
 
-// Guards against two runs of a task: the lease counted as expired although calls of before could still extend it.
+// Guards against two runs of a task: the lease counted as expired although earlier calls could still extend it.
 TEST_CASE("Runs of a restarted worker are not taken for ended by a lease while the new process has accepted no fence")
 {
     const Milliseconds timeout = WorkerTiming().announcementTimeout;
@@ -271,7 +271,7 @@
     CHECK(OutputByKind(supervisor.takeOutput()).polls.back().leaseEndMs.value() > leaseEndMs);
 }
 
-// Guards against two runs of a task: a late start of before reached the next process under the same ID.
+// Guards against two runs of a task: an earlier start reached the next process under the same ID.
 TEST_CASE("A worker that comes back after it has left has to accept a higher fence")
 {
     ReconciledSupervisor fixture;
--- a/tests/support/supervisor_fixture.h
+++ b/tests/support/supervisor_fixture.h
@@ -106,7 +106,7 @@
     EntryLiveness liveness{Milliseconds(700)};
     WorkerSupervisor supervisor{WorkerTiming{}, FirstFence, liveness};
 
-    /** With the worker found at @p foundAt. For the second after that, calls of before may have extended its lease. */
+    /** With the worker found at @p foundAt. For a second after that, earlier calls may extend its lease. */
     explicit ReconciledSupervisor(MonotonicTime foundAt = Start)
     {
         proveEntryAlive(Start);
