--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -289,13 +289,13 @@
     WorkerSupervisor &supervisor = fixture.supervisor;
     PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
     supervisor.handleReply(rejected(poll.callId, Rejection::Unhealthy), Start + Milliseconds(2));
-    size_t polls = 0;
+    int64_t polls = 0;
     size_t ends = 0;
     for (MonotonicTime now = Start + Milliseconds(3); now < Start + Milliseconds(1000); now += Milliseconds(1)) {
         fixture.proveEntryAlive(now);
         supervisor.tick(now);
         const OutputByKind output(supervisor.takeOutput());
-        polls += output.polls.size();
+        polls += std::ssize(output.polls);
         ends += output.ends.size();
         for (const PollRuns &each : output.polls) {
             supervisor.handleReply(rejected(each.callId, Rejection::Unhealthy), now);
