HTTP server: reject a request whose disconnect can't be watched

A request whose connection could not be added to the watch for disconnects was run all the same. If its caller left, the entry ran its tasks until the job's deadline, beside those of the job sent again to another entry.

Cause: the failure of epoll_ctl() was logged only.

Change: such a request is answered at once with 503 and Retry-After, and is not handed over. The test that expected an answer of the handler expects the rejection now, and that the handler is not called: it asked for the fault.

--- a/connection/http_server.cpp
+++ b/connection/http_server.cpp
@@ -35,6 +35,14 @@
 constexpr int MaxDisconnectEvents = 64;
 constexpr Milliseconds StopFlushTime{50};
 
+HttpResponse makeBusyResponse(uint64_t token)
+{
+    return HttpResponse{token,
+                        StatusUnavailable,
+                        R"({"error":{"kind":"busy","message":"too many requests wait here; come back later"}})",
+                        MillisecondsPerSecond};
+}
+
 MHD_Result collectHeader(void *context, MHD_ValueKind, const char *name, const char *value)
 {
     auto &[wantedNames, headers]
@@ -85,7 +93,8 @@
                                 void **context);
     static void onCompleted(void *self, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code);
 
-    void watchForDisconnect(MHD_Connection *connection, uint64_t token);
+    /** Returns false if disconnects of the client can't be seen. */
+    bool watchForDisconnect(MHD_Connection *connection, uint64_t token);
 
     Exchange *beginExchange(MHD_Connection *connection, const char *url, const char *method);
     void appendBody(Exchange &exchange, const char *data, size_t size) const;
@@ -157,10 +166,10 @@
 }
 
 /** MHD does not poll the socket of a suspended connection, so disconnects are detected with a separate epoll set. */
-void HttpServer::Impl::watchForDisconnect(MHD_Connection *connection, uint64_t token)
+bool HttpServer::Impl::watchForDisconnect(MHD_Connection *connection, uint64_t token)
 {
     if (disconnectEpoll_ < 0) {
-        return;
+        return true;
     }
     const MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     epoll_event event{};
@@ -173,6 +182,7 @@
     if (result != 0) {
         spdlog::warn("event=disconnect_watch_failed reason=\"{}\"", std::strerror(errno));
     }
+    return result == 0;
 }
 
 std::vector<uint64_t> HttpServer::Impl::takeDisconnected()
@@ -295,15 +305,15 @@
     }
     {
         absl::MutexLock lock(&mutex_);
+        // Work for a client whose disconnect can't be seen would go on beside what it sends again elsewhere.
+        if (!watchForDisconnect(exchange.connection, token)) {
+            return send(exchange.connection, makeBusyResponse(token));
+        }
         pending_[token] = &exchange;
         MHD_suspend_connection(exchange.connection);
-        watchForDisconnect(exchange.connection, token);
     }
     if (!asyncHandler_(std::move(exchange.request))) {
-        reply(HttpResponse{token,
-                           StatusUnavailable,
-                           R"({"error":{"kind":"busy","message":"too many requests wait here; come back later"}})",
-                           MillisecondsPerSecond});
+        reply(makeBusyResponse(token));
     }
     return MHD_YES;
 }
--- a/tests/connection/http_server_test.cpp
+++ b/tests/connection/http_server_test.cpp
@@ -56,6 +56,7 @@
 namespace {
 
 constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
 // One address for each case: cases run at the same time, and servers that share an address share its connections.
 constexpr const char *WatchAddress = "127.0.0.1:17681";
 constexpr const char *StartAddress = "127.0.0.1:17682";
@@ -162,16 +163,16 @@
 } // namespace
 
 // Guards against work for callers that have gone, without a sign of it: their disconnects can't be seen.
-TEST_CASE("A request whose disconnect can't be watched is answered, and the error is logged")
+TEST_CASE("A request whose disconnect can't be watched is rejected at once, and the error is logged")
 {
     const ScopedLog log;
     const ScopedFlag failure(failsDisconnectWatch);
-    std::promise<uint64_t> token;
+    std::atomic<int> handedOver{0};
     HttpServer server(
         makeOptions(WatchAddress),
-        [&](const HttpRequest &request) {
-            token.set_value(request.token);
-            return true;
+        [&](const HttpRequest &) {
+            ++handedOver;
+            return false;
         },
         [](const HttpRequest &) { return std::nullopt; });
     HttpClient client(1);
@@ -179,8 +180,10 @@
     call.url = std::string("http://") + WatchAddress + "/";
     std::promise<HttpResult> result;
     client.call(call, [&](HttpResult answer) { result.set_value(std::move(answer)); });
-    server.reply(HttpResponse{token.get_future().get(), StatusOk, "{}"});
-    CHECK(result.get_future().get().status == StatusOk);
+    const HttpResult answer = result.get_future().get();
+    CHECK(answer.status == StatusUnavailable);
+    CHECK_THAT(answer.body, Catch::Contains("\"kind\":\"busy\""));
+    CHECK(handedOver == 0);
     CHECK_THAT(log.text(), Catch::Contains("event=disconnect_watch_failed reason=\"No space left on device\""));
 }
 
