Entry: end all jobs after a suspension that their callers may have left in

Cause: the entry takes a caller for present until the end of its connection has arrived. While the machine is suspended, so is its TCP stack, and the end arrives with a retransmission, up to as late again as the suspension was long. Messages of the agents arrive before that, so the entry proved to be alive, and started the tasks again which the agents had stopped meanwhile. 1.3 s after they had left, its callers had sent the jobs to another entry.

Change: the entry compares the clock that counts suspensions with the one that doesn't, in each pass, after it has taken the events. After a suspension beyond what the sum of the bounds leaves for the end of a connection (150 ms), it ends all jobs in the pass in which it notices, before it echoes a message of an agent, and rejects the calls of the next 20 ms, which may have arrived before. Answers that are ready are delivered. A process that only stands still is not affected: its kernel takes in the ends of connections, and the look in each pass sees them.

--- a/core/clock.cpp
+++ b/core/clock.cpp
@@ -11,6 +11,11 @@
     return MonotonicTime(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
+MonotonicTime monotonicNowWithoutSuspension()
+{
+    return std::chrono::steady_clock::now();
+}
+
 int64_t wallMilliseconds()
 {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
--- a/core/clock.h
+++ b/core/clock.h
@@ -10,6 +10,9 @@
  */
 MonotonicTime monotonicNow();
 
+/** Current time of a monotonic clock that stands still while the machine is suspended, to measure how long it was. */
+MonotonicTime monotonicNowWithoutSuspension();
+
 /** Wall time in Unix milliseconds. It may jump: use it for names and ordering across processes, not for durations. */
 int64_t wallMilliseconds();
 
--- a/event/process_event.h
+++ b/event/process_event.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/time.h"
+
 /** Events and commands of the life of a process. */
 namespace marjoramferry {
 
@@ -8,6 +10,12 @@
 {
 };
 
+/** The machine runs again after it was suspended. */
+struct MachineResumed
+{
+    Milliseconds suspended{0}; ///< For how long.
+};
+
 struct DrainRequested
 {
 };
--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds BatchDelay{1};
 /** Sent to callers of a stopping entry; a retry reaches another entry. */
 constexpr Milliseconds StoppingRetryAfter{1000};
+/** Shorter differences of the clocks are the time between their readings. */
+constexpr Milliseconds MinSuspension{50};
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 
@@ -152,6 +154,10 @@
             operatorFeed_.tick(now);
             entryRegistry_.tick(now);
         }
+        if (const Milliseconds suspended = suspensions_.measure(now, monotonicNowWithoutSuspension());
+            suspended >= MinSuspension) {
+            batch.emplace_back(MachineResumed{suspended});
+        }
         handlePass(batch);
         for (WorkEntryCommand &command : core_.flush(monotonicNow())) {
             execute(command);
--- a/process/work_entry_process.h
+++ b/process/work_entry_process.h
@@ -4,6 +4,7 @@
 #include "connection/http_server.h"
 #include "connection/link_loop.h"
 #include "core/bounded_queue.h"
+#include "core/suspension_meter.h"
 #include "platform/entry_registry.h"
 #include "platform/operator_feed.h"
 #include "platform/store_client.h"
@@ -52,6 +53,7 @@
     BoundedQueue<WorkEntryEvent> events_;
     Metrics metrics_;
     WorkEntry core_;
+    SuspensionMeter suspensions_;
     std::atomic<bool> isReady_{false};
     std::atomic<bool> isFinished_{false}; ///< run() has stopped handling events; further calls are rejected at once.
     LinkLoop links_;
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -1,5 +1,7 @@
 #include "request/work_entry.h"
 
+#include "request/worker_lease.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -15,6 +17,8 @@
 /** A stopping entry accepts a job only if the time left is this multiple of the expected run time, plus a margin. */
 constexpr int DrainSafetyFactor = 2;
 constexpr Milliseconds DrainMargin{300};
+/** Within this time after a suspension, calls that arrived before it have reached the entry's core. */
+constexpr Milliseconds ResumedIntakeTime{20};
 
 } // namespace
 
@@ -30,6 +34,7 @@
 {
     std::visit(Overloaded{
                    [&](const Tick &) { onTick(now); },
+                   [&](const MachineResumed &each) { onResume(each.suspended, now); },
                    [&](const SubmitWork &each) { onSubmit(each, now); },
                    [&](const QueryWork &each) { onQuery(each); },
                    [&](const CancelWork &each) { onCancel(each, now); },
@@ -102,6 +107,10 @@
         return;
     }
     const std::string &jobId = destination->jobId;
+    if (mayPredateSuspension(now)) {
+        respond(call.address, scheduler_.refusalStatus(jobId, now), "machine_suspended");
+        return;
+    }
     if (drainingSince_ && !scheduler_.hasJob(jobId) && !canFinishBeforeShutdown(call.job, *destination->route, now)) {
         respond(call.address, scheduler_.refusalStatus(jobId, now), "stopping");
         return;
@@ -258,7 +267,7 @@
     }
     const auto elapsed = now - *drainingSince_;
     if (elapsed > options_.shutdownTimeout) {
-        scheduler_.interruptAllJobs(now);
+        scheduler_.interruptAllJobs("stopping", now);
     }
     if (scheduler_.isEmpty() && elapsed > options_.minDrainTime) {
         isStopSent_ = true;
@@ -292,6 +301,26 @@
     }
 }
 
+/**
+ * Ends all jobs after a suspension that callers may have left in: the ends of their connections arrive with a
+ * retransmission, up to as late again as the suspension was long, and until then they can't be told from the others.
+ */
+void WorkEntry::onResume(Milliseconds suspended, MonotonicTime now)
+{
+    log(LogEvent::Level::Warning, "machine_resumed", {{"suspended_ms", absl::StrCat(suspended.count())}});
+    if (suspended <= CallerEndMargin) {
+        return;
+    }
+    resumedAt_ = now;
+    scheduler_.interruptAllJobs("machine_suspended", now);
+}
+
+/** Whether a call that is handled now may have arrived before the machine was suspended. */
+bool WorkEntry::mayPredateSuspension(MonotonicTime now) const
+{
+    return resumedAt_ && now - *resumedAt_ <= ResumedIntakeTime;
+}
+
 bool WorkEntry::isReady(MonotonicTime now) const
 {
     if (drainingSince_ || !operatorState_.hasConfiguration()) {
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -49,6 +49,7 @@
 };
 
 using WorkEntryEvent = std::variant<Tick,
+                                    MachineResumed,
                                     SubmitWork,
                                     QueryWork,
                                     CancelWork,
@@ -96,6 +97,7 @@
     };
 
     void onSubmit(const SubmitWork &call, MonotonicTime now);
+    bool mayPredateSuspension(MonotonicTime now) const;
     bool canFinishBeforeShutdown(const WorkJob &job, const wire::Route &route, MonotonicTime now) const;
     void onQuery(const QueryWork &call);
     void onCancel(const CancelWork &call, MonotonicTime now);
@@ -103,6 +105,7 @@
     void onLinkMessage(const LinkMessage &event, MonotonicTime now);
     void onTick(MonotonicTime now);
     void onDrain(MonotonicTime now);
+    void onResume(Milliseconds suspended, MonotonicTime now);
     void addEntries(const std::vector<std::string> &addresses);
     void updateOperatorState(const wire::OperatorState &state, const std::string &source);
     void announceToSeeds(MonotonicTime now);
@@ -119,6 +122,7 @@
     bool wasStoreStale_ = false;
     MonotonicTime lastAnnouncementAt_;
     std::optional<MonotonicTime> drainingSince_;
+    std::optional<MonotonicTime> resumedAt_; ///< When the machine last ran again after a suspension.
     bool isStopSent_ = false;
     std::vector<WorkEntryCommand> out_;
 };
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -670,14 +670,12 @@
     }
 }
 
-void WorkScheduler::interruptAllJobs(MonotonicTime now)
+void WorkScheduler::interruptAllJobs(const std::string &reason, MonotonicTime now)
 {
     while (!jobs_.empty()) {
         const std::string id = jobs_.begin()->first;
-        finishJob(id,
-                  jobs_.begin()->second.hasStarted ? ResponseStatus::Interrupted : ResponseStatus::Rejected,
-                  "stopping",
-                  now);
+        finishJob(
+            id, jobs_.begin()->second.hasStarted ? ResponseStatus::Interrupted : ResponseStatus::Rejected, reason, now);
     }
 }
 
--- a/request/work_scheduler.h
+++ b/request/work_scheduler.h
@@ -101,8 +101,8 @@
     /** Dispatches tasks to workers with free capacity and rejects jobs that waited too long. */
     void schedule(const OperatorStateCache &operatorState, MonotonicTime now);
 
-    /** Stops all jobs and responds to all calls, on shutdown. */
-    void interruptAllJobs(MonotonicTime now);
+    /** Stops all jobs and responds to all calls. */
+    void interruptAllJobs(const std::string &reason, MonotonicTime now);
 
     bool isEmpty() const
     {
--- a/request/worker_lease.cpp
+++ b/request/worker_lease.cpp
@@ -17,8 +17,6 @@
 
 /** Transmission of the last message before the silence. */
 constexpr Milliseconds TransmissionMargin{60};
-/** Until the end of a caller's connection has reached its entry. */
-constexpr Milliseconds CallerEndMargin{150};
 
 Milliseconds onSlowClock(Milliseconds duration)
 {
--- a/request/worker_lease.h
+++ b/request/worker_lease.h
@@ -11,6 +11,9 @@
 /** Default of the time without proof that an entry is alive after which its runs are stopped. */
 inline constexpr Milliseconds DefaultEntryTimeout{700};
 
+/** Until the end of a caller's connection has reached its entry. */
+inline constexpr Milliseconds CallerEndMargin{150};
+
 /** Limits of the deployment on runs and processes. */
 struct WorkerLimits
 {
--- a/tests/promises/deployment_troubles_test.cpp
+++ b/tests/promises/deployment_troubles_test.cpp
@@ -128,6 +128,28 @@
     }
 }
 
+// Guards against an entry that wakes with its machine and starts tasks again for callers that left meanwhile: the ends
+// of their connections arrive with a retransmission, when these callers have sent their jobs to another entry.
+TEST_CASE("The machine of an entry is suspended while its callers leave: the jobs sent again run alone")
+{
+    constexpr Milliseconds Longest{2500};
+    for (Milliseconds duration{100}; duration <= Longest; duration += Milliseconds(200)) {
+        for (Milliseconds left{0}; left < duration; left += Milliseconds(100)) {
+            SimulationOptions options;
+            WorkSimulation simulation(options);
+            simulation.runFor(Milliseconds(500));
+            simulation.submit({"job", "survey", 2 * options.agents, 3000, 3000, 6200}, 0, Milliseconds(9000));
+            simulation.runFor(Milliseconds(300));
+            simulation.suspendEntry(0, duration);
+            simulation.runFor(left);
+            simulation.resetCallers(0, 1);
+            simulation.runFor(Milliseconds(9000));
+            INFO("suspended for " << duration.count() << " ms, left after " << left.count() << " ms");
+            checkNoViolation(simulation.violations());
+        }
+    }
+}
+
 // Guards against a start that outlasts its process, as in resubmission_test.cpp, beside further troubles.
 TEST_CASE("Late starts that reach a successor beside further troubles: no task runs twice at the same time")
 {
--- a/tests/request/work_entry_test.cpp
+++ b/tests/request/work_entry_test.cpp
@@ -34,29 +34,45 @@
     return responses;
 }
 
+/** An entry that knows the queue "quote", and one agent with room. */
+struct EntryFixture
+{
+    WorkEntry entry{makeOptions()};
+
+    EntryFixture()
+    {
+        OperatorStatePolled polled;
+        wire::OperatorState state;
+        state.position = 1;
+        state.configurationVersion = 1;
+        wire::Route quote = route("quote", 0);
+        quote.host = "quote.example";
+        quote.pathPrefix = "/quote/";
+        state.routes = {quote};
+        polled.state = state;
+        entry.handle(polled, Start);
+        entry.handle(LinkMessage{1, agentBatch("a", "north", 16'000)}, Start);
+        entry.handle(Tick{}, Start);
+        entry.flush(Start);
+    }
+
+    static WorkEntryOptions makeOptions()
+    {
+        WorkEntryOptions options;
+        options.name = "entry";
+        options.incarnation = "entry-1";
+        options.linkAddress = "10.0.0.1:7000";
+        return options;
+    }
+};
+
 } // namespace
 
 // Guards against a refusal that says a job has not run, while the entry runs it for an earlier call.
 TEST_CASE("A stopping entry does not answer a job that it is running as rejected if it is sent again")
 {
-    WorkEntryOptions options;
-    options.name = "entry";
-    options.incarnation = "entry-1";
-    options.linkAddress = "10.0.0.1:7000";
-    WorkEntry entry(options);
-    OperatorStatePolled polled;
-    wire::OperatorState state;
-    state.position = 1;
-    state.configurationVersion = 1;
-    wire::Route quote = route("quote", 0);
-    quote.host = "quote.example";
-    quote.pathPrefix = "/quote/";
-    state.routes = {quote};
-    polled.state = state;
-    entry.handle(polled, Start);
-    entry.handle(LinkMessage{1, agentBatch("a", "north", 16'000)}, Start);
-    entry.handle(Tick{}, Start);
-    entry.flush(Start);
+    EntryFixture fixture;
+    WorkEntry &entry = fixture.entry;
     entry.handle(jobCall(1, Milliseconds(4000)), Start + Milliseconds(10));
     bool isOrdered = false;
     for (const WorkEntryCommand &command : entry.flush(Start + Milliseconds(10))) {
@@ -70,3 +86,35 @@
     // The second call waits for the answer of the run, as the first one does.
     CHECK(responsesOf(entry.flush(Start + Milliseconds(30))).empty());
 }
+
+// Guards against tasks that start for callers that left while the machine was suspended, whose calls and ends of
+// connections were still under way.
+TEST_CASE("Calls that may have arrived before a suspension are rejected at once, later ones are served")
+{
+    constexpr Milliseconds Suspension{1000};
+    const MonotonicTime resumedAt = Start + Suspension;
+    EntryFixture fixture;
+    WorkEntry &entry = fixture.entry;
+    entry.handle(jobCall(1, Milliseconds(60)), resumedAt);
+    entry.handle(MachineResumed{Suspension}, resumedAt);
+    std::vector<CallResponse> responses = responsesOf(entry.flush(resumedAt));
+    REQUIRE(responses.size() == 1);
+    CHECK(responses[0].status == ResponseStatus::Rejected);
+    entry.handle(jobCall(2, Milliseconds(60)), resumedAt + Milliseconds(20));
+    responses = responsesOf(entry.flush(resumedAt + Milliseconds(20)));
+    REQUIRE(responses.size() == 1);
+    CHECK(responses[0].status == ResponseStatus::Rejected);
+    CHECK(responses[0].retryAfter > Milliseconds(0));
+    entry.handle(jobCall(3, Milliseconds(60)), resumedAt + Milliseconds(21));
+    CHECK(responsesOf(entry.flush(resumedAt + Milliseconds(21))).empty());
+}
+
+// Guards against service lost to suspensions that the sum of the bounds allows for.
+TEST_CASE("A suspension that is no longer than the end of a connection may take ends no job")
+{
+    EntryFixture fixture;
+    WorkEntry &entry = fixture.entry;
+    entry.handle(jobCall(1, Milliseconds(60)), Start);
+    entry.handle(MachineResumed{Milliseconds(150)}, Start + Milliseconds(150));
+    CHECK(responsesOf(entry.flush(Start + Milliseconds(150))).empty());
+}
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -118,6 +118,8 @@
     options.scheduler.admission = options_.admission;
     options.scheduler.selector.seed = options_.seed + static_cast<uint64_t>(node.generation);
     node.core = std::make_unique<WorkEntry>(options);
+    node.isSuspended = false;
+    node.suspended = Milliseconds(0);
     deliverToEntry(entry, node.generation, OperatorStatePolled{makeOperatorState()});
     tickEntry(entry, node.generation);
 }
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -98,6 +98,11 @@
     void drainAgent(int agent);
     void freezeEntry(int entry, Milliseconds duration);
     void freezeAgent(int agent, Milliseconds duration);
+    /**
+     * Stops the whole machine of an entry, also its kernel. The ends of connections that are sent to it meanwhile
+     * arrive with a retransmission, after messages of other connections.
+     */
+    void suspendEntry(int entry, Milliseconds duration);
     /** Resets the connections of this fraction of the callers that wait at the entry. They send their jobs again. */
     void resetCallers(int entry, double share);
     /** This fraction of the callers that wait at the entry leave for good. */
@@ -212,6 +217,8 @@
         MonotonicTime frozenAt{};
         MonotonicTime frozenUntil{};
         FreezePoint freezePoint = FreezePoint::Idle;
+        bool isSuspended = false; ///< With its machine, while it is frozen.
+        Milliseconds suspended{0}; ///< How long, until it has been told.
         std::vector<Event> taken{}; ///< Taken from the queue before the freeze.
         std::vector<Event> deferred{}; ///< Arrived during the freeze.
         std::vector<Command> heldCommands{}; ///< Of the events that were handled before the freeze.
@@ -292,6 +299,7 @@
     void sendCall(const Submission &submission);
     void resend(uint64_t token);
     void endCallerConnection(uint64_t token);
+    Milliseconds callerEndDelay(size_t entry);
     bool isWaiting(uint64_t token) const;
     int capacityOf(int agent) const;
     MonotonicTime arrivalTime(int entry, int agent, bool isToAgent) const;
--- a/tests/support/work_simulation_callers.cpp
+++ b/tests/support/work_simulation_callers.cpp
@@ -9,6 +9,8 @@
 /** The platform's time from a broken connection to the next send of the job. */
 constexpr Milliseconds ResubmitDelay{1300};
 constexpr int MaxResends = 3; ///< Of a job whose caller's deadline is renewed with each send.
+/** TCP's time until the first retransmission of what a peer has not acknowledged; it doubles with each one. */
+constexpr Milliseconds FirstRetransmission{200};
 
 } // namespace
 
@@ -79,19 +81,37 @@
 void WorkSimulation::endCallerConnection(uint64_t token)
 {
     const auto entry = static_cast<size_t>(submissions_.at(token - 1).entry);
-    if (options_.maxCallerEndDelay == Milliseconds(0)) {
+    const Milliseconds delay = callerEndDelay(entry);
+    if (delay == Milliseconds(0)) {
         entries_.at(entry).closedCalls.push_back(token);
         return;
     }
-    std::uniform_int_distribution<int64_t> delay(options_.minCallerEndDelay.count(),
-                                                 options_.maxCallerEndDelay.count());
-    schedule(Milliseconds(delay(disruptionRandom_)), [this, entry, token, generation = entries_.at(entry).generation] {
+    schedule(delay, [this, entry, token, generation = entries_.at(entry).generation] {
         if (entries_.at(entry).generation == generation) {
             entries_.at(entry).closedCalls.push_back(token);
         }
     });
 }
 
+/** From the end of a caller's connection, now, to its arrival at the entry. */
+Milliseconds WorkSimulation::callerEndDelay(size_t entry)
+{
+    const auto &node = entries_.at(entry);
+    if (node.isSuspended) {
+        Milliseconds delay = FirstRetransmission;
+        for (Milliseconds pause = 2 * FirstRetransmission; now_ + delay < node.frozenUntil; pause *= 2) {
+            delay += pause;
+        }
+        return delay;
+    }
+    if (options_.maxCallerEndDelay == Milliseconds(0)) {
+        return options_.maxCallerEndDelay;
+    }
+    std::uniform_int_distribution<int64_t> delay(options_.minCallerEndDelay.count(),
+                                                 options_.maxCallerEndDelay.count());
+    return Milliseconds(delay(disruptionRandom_));
+}
+
 void WorkSimulation::onResponse(const CallResponse &response)
 {
     if (!isWaiting(response.token)) {
--- a/tests/support/work_simulation_passes.cpp
+++ b/tests/support/work_simulation_passes.cpp
@@ -127,6 +127,9 @@
     for (const uint64_t token : closed) {
         node.core->handle(CallAbandoned{token}, node.clock.read(now_));
     }
+    if (looksAtCallers && node.suspended > Milliseconds(0)) {
+        node.core->handle(MachineResumed{std::exchange(node.suspended, Milliseconds(0))}, node.clock.read(now_));
+    }
 }
 
 void WorkSimulation::handlePass(int agent, const std::vector<WorkAgentEvent> &events)
@@ -172,6 +175,13 @@
         = [this, entry, generation = node.generation] { wakeEntry(entry, generation); };
 }
 
+void WorkSimulation::suspendEntry(int entry, Milliseconds duration)
+{
+    auto &node = entries_.at(static_cast<size_t>(entry));
+    node.isSuspended = node.core != nullptr;
+    freezeEntry(entry, duration);
+}
+
 void WorkSimulation::freezeAgent(int agent, Milliseconds duration)
 {
     auto &node = agents_.at(static_cast<size_t>(agent));
@@ -208,6 +218,9 @@
     if (node.generation != generation || !node.core || !node.isFrozen || now_ < node.frozenUntil) {
         return;
     }
+    if (std::exchange(node.isSuspended, false)) {
+        node.suspended = Milliseconds(millisecondsBetween(node.frozenAt, now_));
+    }
     executeAll(entry, std::exchange(node.heldCommands, {}));
     if (!node.taken.empty()) {
         handlePass(entry, std::exchange(node.taken, {}), false);
