Test: beyond the delay that the bounds allow for the end of a call, a task runs twice

Cause: the case with a delay of 200 ms doesn't show whether the sum of the bounds depends on that delay at all.

Change: the plays are a function of the delay, and a second case expects a violation at 250 ms. Bounds, delay and plays of the first case are the same.

--- a/tests/promises/deployment_troubles_test.cpp
+++ b/tests/promises/deployment_troubles_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Milliseconds MaxCallerEndDelay{200};
+constexpr Milliseconds ExcessiveCallerEndDelay{250};
 
 bool isFurther(int kind)
 {
@@ -69,6 +70,53 @@
     return static_cast<double>(simulation.completeCalls()) / Jobs;
 }
 
+/** When callers leave and an agent freezes, in a play in which their entry dies before it learns that they have left.
+ */
+struct LateEnd
+{
+    Milliseconds phase{0}; ///< Of the renewals of leases, when the callers leave.
+    Milliseconds freezeAfter{0}; ///< After the entry died.
+};
+
+void forEachLateEnd(const std::function<void(const LateEnd &)> &visit)
+{
+    constexpr Milliseconds Phases{200}; // The longest interval between two renewals of a lease.
+    constexpr Milliseconds EarliestFreeze{690}; // Runs are stopped 700 ms after the last proof that the entry is alive.
+    constexpr Milliseconds LatestFreeze{715};
+    for (Milliseconds phase{0}; phase < Phases; phase += Milliseconds(22)) {
+        for (Milliseconds freeze = EarliestFreeze; freeze <= LatestFreeze; freeze += Milliseconds(5)) {
+            visit({phase, freeze});
+        }
+    }
+}
+
+/** Returns the violated invariants; @p callerEndDelay is how late the ends of the callers' connections arrive. */
+std::vector<std::string> playLateEnd(const LateEnd &lateEnd, Milliseconds callerEndDelay)
+{
+    SimulationOptions options;
+    options.minCallerEndDelay = callerEndDelay;
+    options.maxCallerEndDelay = callerEndDelay;
+    WorkSimulation simulation(options);
+    simulation.runFor(Milliseconds(500));
+    simulation.submit({"job", "survey", 2 * options.agents, 3000, 3000, 6200}, 0, Milliseconds(9000));
+    // Short jobs, so that the entries prove often that they are alive, and agents renew their leases often.
+    for (int ms = 0; ms < 1000 + lateEnd.phase.count(); ms += 5) {
+        simulation.schedule(Milliseconds(ms), [&simulation, ms] {
+            const SimulatedJob job{absl::StrCat("short-", ms), "quote", 2, 20, 20, 6200};
+            simulation.submit(job, ms / 5 % 2, Milliseconds(9000));
+        });
+    }
+    simulation.runFor(Milliseconds(300) + lateEnd.phase);
+    simulation.resetCallers(0, 1);
+    simulation.runFor(callerEndDelay - Milliseconds(5));
+    simulation.killEntry(0, Milliseconds(9000));
+    simulation.runFor(lateEnd.freezeAfter);
+    simulation.freezeAgent(0, Milliseconds(3000));
+    simulation.freezeAgent(1, Milliseconds(3000)); // The clock of its worker is 2% slow.
+    simulation.runFor(Milliseconds(9000));
+    return simulation.violations();
+}
+
 } // namespace
 
 // Guards against rules that hold beside reset connections and freezes, but not beside connections that go silent at
@@ -94,38 +142,20 @@
 // arrived, but the 1.3 s after which the caller sends the job again count from when it left.
 TEST_CASE("The end of a call arrives late, the entry dies and an agent freezes: the job sent again runs alone")
 {
-    constexpr Milliseconds Phases{200}; // The longest interval between two renewals of a lease.
-    constexpr Milliseconds EarliestFreeze{690}; // Runs are stopped 700 ms after the last proof that the entry is alive.
-    constexpr Milliseconds LatestFreeze{715};
-    constexpr Milliseconds UntilEntryDies = MaxCallerEndDelay - Milliseconds(5);
-    for (Milliseconds phase{0}; phase < Phases; phase += Milliseconds(22)) {
-        for (Milliseconds freeze = EarliestFreeze; freeze <= LatestFreeze; freeze += Milliseconds(5)) {
-            SimulationOptions options;
-            options.minCallerEndDelay = MaxCallerEndDelay;
-            options.maxCallerEndDelay = MaxCallerEndDelay;
-            WorkSimulation simulation(options);
-            simulation.runFor(Milliseconds(500));
-            simulation.submit({"job", "survey", 2 * options.agents, 3000, 3000, 6200}, 0, Milliseconds(9000));
-            // Short jobs, so that the entries prove often that they are alive, and agents renew their leases often.
-            for (int ms = 0; ms < 1000 + phase.count(); ms += 5) {
-                simulation.schedule(Milliseconds(ms), [&simulation, ms] {
-                    const SimulatedJob job{absl::StrCat("short-", ms), "quote", 2, 20, 20, 6200};
-                    simulation.submit(job, ms / 5 % 2, Milliseconds(9000));
-                });
-            }
-            simulation.runFor(Milliseconds(300) + phase);
-            simulation.resetCallers(0, 1);
-            simulation.runFor(UntilEntryDies);
-            simulation.killEntry(0, Milliseconds(9000));
-            simulation.runFor(freeze);
-            simulation.freezeAgent(0, Milliseconds(3000));
-            simulation.freezeAgent(1, Milliseconds(3000)); // The clock of its worker is 2% slow.
-            simulation.runFor(Milliseconds(9000));
-            INFO("left " << 800 + phase.count() << " ms after the start, frozen " << freeze.count()
-                         << " ms after the entry died");
-            checkNoViolation(simulation.violations());
-        }
-    }
+    forEachLateEnd([](const LateEnd &each) {
+        INFO("left " << 800 + each.phase.count() << " ms after the start, frozen " << each.freezeAfter.count()
+                     << " ms after the entry died");
+        checkNoViolation(playLateEnd(each, MaxCallerEndDelay));
+    });
+}
+
+// Guards against a margin for the end of a connection that is larger than the sum of the bounds leaves, so that the
+// test above would pass whatever the bounds are.
+TEST_CASE("The end of a call arrives later than the sum of the bounds allows: a task runs twice at the same time")
+{
+    int plays = 0;
+    forEachLateEnd([&](const LateEnd &each) { plays += playLateEnd(each, ExcessiveCallerEndDelay).empty() ? 0 : 1; });
+    CHECK(plays > 0);
 }
 
 // Guards against an entry that wakes with its machine and starts tasks again for callers that left meanwhile: the ends
