Simulation: hold what is sent to a suspended machine on its connection

The trace shows messages of a connection that the agent had reset arrive after those of the next one, with which their numbers count as received: no kernel delivers these.

Change: the time of the retransmission belongs to the connection, or to the call for one of its own.

--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -120,7 +120,6 @@
     node.core = std::make_unique<WorkEntry>(options);
     node.isSuspended = false;
     node.suspended = Milliseconds(0);
-    node.retransmittedAt.clear();
     deliverToEntry(entry, node.generation, OperatorStatePolled{makeOperatorState()});
     tickEntry(entry, node.generation);
 }
@@ -139,7 +138,6 @@
     }
     node.core = std::make_unique<WorkAgent>(options);
     node.isSuspended = false;
-    node.retransmittedAt.clear();
     tickAgent(agent, node.generation);
 }
 
@@ -213,7 +211,8 @@
         connections_[link] = Connection{entry, agent, entries_.at(static_cast<size_t>(entry)).generation};
     }
     Connection &connection = connections_.at(link);
-    connection.lastArrivalAtEntry = std::max(connection.lastArrivalAtEntry, arrivalTime(entry, agent, false));
+    const MonotonicTime arrival = std::max(connection.lastArrivalAtEntry, arrivalTime(entry, agent, false));
+    connection.lastArrivalAtEntry = arrivalAt(entries_.at(static_cast<size_t>(entry)), arrival);
     actions_[{connection.lastArrivalAtEntry, ++lastActionId_}]
         = [this, id = link, message = std::move(message)]() mutable {
               const Connection &conn = connections_.at(id);
@@ -230,9 +229,11 @@
         return;
     }
     ++messagesSent_;
-    connection.lastArrivalAtAgent
+    const auto &node = agents_.at(static_cast<size_t>(connection.agent));
+    const MonotonicTime arrival
         = std::max(connection.lastArrivalAtAgent, arrivalTime(connection.entry, connection.agent, true));
-    const int64_t generation = agents_.at(static_cast<size_t>(connection.agent)).generation;
+    connection.lastArrivalAtAgent = arrivalAt(node, arrival);
+    const int64_t generation = node.generation;
     actions_[{connection.lastArrivalAtAgent, ++lastActionId_}]
         = [this, link, generation, message = std::move(message)]() mutable {
               const Connection &conn = connections_.at(link);
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -220,7 +220,6 @@
         FreezePoint freezePoint = FreezePoint::Idle;
         bool isSuspended = false; ///< With its machine, while it is frozen.
         Milliseconds suspended{0}; ///< How long, until it has been told.
-        std::map<std::string, MonotonicTime> retransmittedAt{}; ///< When each source is heard of after a suspension.
         std::vector<Event> taken{}; ///< Taken from the queue before the freeze.
         std::vector<Event> deferred{}; ///< Arrived during the freeze.
         std::vector<Command> heldCommands{}; ///< Of the events that were handled before the freeze.
@@ -270,12 +269,6 @@
     /** Whether the node is frozen; if so, keeps the event for later. */
     template<typename NodeType, typename Event>
     bool deferIfFrozen(NodeType &node, const Event &event);
-    /** Whether the event waits for a retransmission on its connection; if so, delivers it then. */
-    template<typename NodeType, typename Event, typename Deliver>
-    bool deferUntilRetransmission(NodeType &node, const Event &event, const Deliver &deliver);
-    /** Delivers what was sent to a suspended machine, except ticks, with a retransmission. */
-    template<typename NodeType, typename Deliver>
-    void retransmit(NodeType &node, const Deliver &deliver);
     void wakeEntry(int entry, int64_t generation);
     void wakeAgent(int agent, int64_t generation);
     /** Removes the events of the next pass of a process that wakes, in an order that threads can produce. */
@@ -311,6 +304,17 @@
     bool isWaiting(uint64_t token) const;
     int capacityOf(int agent) const;
     MonotonicTime arrivalTime(int entry, int agent, bool isToAgent) const;
+    /** When something arrives that reaches the machine at @p arrival, or, if it is suspended, with a retransmission. */
+    template<typename NodeType>
+    MonotonicTime arrivalAt(const NodeType &node, MonotonicTime arrival)
+    {
+        if (!node.isSuspended || arrival >= node.frozenUntil) {
+            return arrival;
+        }
+        const auto suspended = std::chrono::duration_cast<Microseconds>(node.frozenUntil - node.frozenAt);
+        std::uniform_int_distribution<int64_t> delay(0, suspended.count());
+        return node.frozenUntil + Microseconds(delay(disruptionRandom_));
+    }
     std::string addressOf(int entry) const;
     bool drawBool(double probability);
 
--- a/tests/support/work_simulation_callers.cpp
+++ b/tests/support/work_simulation_callers.cpp
@@ -50,7 +50,14 @@
         resend(token);
         return;
     }
-    deliverToEntry(submission.entry, node.generation, call);
+    if (node.isSuspended) {
+        actions_[{arrivalAt(node, now_), ++lastActionId_}]
+            = [this, call, entry = submission.entry, generation = node.generation] {
+                  deliverToEntry(entry, generation, call);
+              };
+    } else {
+        deliverToEntry(submission.entry, node.generation, call);
+    }
     actions_[{submission.deadlineAt, ++lastActionId_}] = [this, token] {
         if (!isWaiting(token)) {
             return;
--- a/tests/support/work_simulation_passes.cpp
+++ b/tests/support/work_simulation_passes.cpp
@@ -70,47 +70,13 @@
 
 } // namespace
 
-template<typename NodeType, typename Event, typename Deliver>
-bool WorkSimulation::deferUntilRetransmission(NodeType &node, const Event &event, const Deliver &deliver)
-{
-    const auto found = node.retransmittedAt.find(sourceOf(event));
-    if (found == node.retransmittedAt.end() || now_ >= found->second) {
-        return false;
-    }
-    actions_[{found->second, ++lastActionId_}] = [deliver, event] { deliver(event); };
-    return true;
-}
-
-template<typename NodeType, typename Deliver>
-void WorkSimulation::retransmit(NodeType &node, const Deliver &deliver)
-{
-    const auto suspended = std::chrono::duration_cast<Microseconds>(now_ - node.frozenAt);
-    std::uniform_int_distribution<int64_t> delay(1, suspended.count());
-    node.retransmittedAt.clear();
-    auto deferred = std::exchange(node.deferred, {});
-    for (auto &event : deferred) {
-        if (isTick(event)) {
-            node.deferred.push_back(event);
-            continue;
-        }
-        const std::string source = sourceOf(event);
-        MonotonicTime at = now_ + Microseconds(delay(disruptionRandom_));
-        if (!source.empty()) {
-            at = node.retransmittedAt.try_emplace(source, at).first->second;
-        }
-        actions_[{at, ++lastActionId_}] = [deliver, event] { deliver(event); };
-    }
-}
-
 void WorkSimulation::deliverToEntry(int entry, int64_t generation, WorkEntryEvent event)
 {
     auto &node = entries_.at(static_cast<size_t>(entry));
     if (node.generation != generation || !node.core) {
         return;
     }
-    const auto deliver
-        = [this, entry, generation](const WorkEntryEvent &each) { deliverToEntry(entry, generation, each); };
-    if (deferIfFrozen(node, event) || deferUntilRetransmission(node, event, deliver)) {
+    if (deferIfFrozen(node, event)) {
         return;
     }
     handlePass(entry, {std::move(event)}, true);
@@ -123,9 +89,7 @@
     if (node.generation != generation || !node.core) {
         return;
     }
-    const auto deliver
-        = [this, agent, generation](const WorkAgentEvent &each) { deliverToAgent(agent, generation, each); };
-    if (deferIfFrozen(node, event) || deferUntilRetransmission(node, event, deliver)) {
+    if (deferIfFrozen(node, event)) {
         return;
     }
     handlePass(agent, {std::move(event)});
@@ -263,8 +227,6 @@
     }
     if (std::exchange(node.isSuspended, false)) {
         node.suspended = Milliseconds(millisecondsBetween(node.frozenAt, now_));
-        retransmit(node,
-                   [this, entry, generation](const WorkEntryEvent &each) { deliverToEntry(entry, generation, each); });
     }
     executeAll(entry, std::exchange(node.heldCommands, {}));
     if (!node.taken.empty()) {
@@ -288,10 +250,7 @@
     if (node.generation != generation || !node.core || !node.isFrozen || now_ < node.frozenUntil) {
         return;
     }
-    if (std::exchange(node.isSuspended, false)) {
-        retransmit(node,
-                   [this, agent, generation](const WorkAgentEvent &each) { deliverToAgent(agent, generation, each); });
-    }
+    node.isSuspended = false;
     executeAll(agent, std::exchange(node.heldCommands, {}));
     if (!node.core) {
         return;
--- a/tests/support/work_simulation_workers.cpp
+++ b/tests/support/work_simulation_workers.cpp
@@ -95,6 +95,12 @@
         noReply.callId = reply.callId;
         reply = noReply;
     }
+    if (node.isSuspended) {
+        actions_[{arrivalAt(node, now_), ++lastActionId_}] = [this, pending, reply = std::move(reply)]() mutable {
+            deliverToAgent(pending.agent, pending.generation, std::move(reply));
+        };
+        return;
+    }
     deliverToAgent(pending.agent, pending.generation, std::move(reply));
 }
 
