Order: name the worker that a run was placed for, and start it on no other

What callers saw: a task could start on a worker of another kind. Its order was placed by the service and the labels of the former worker of the agent, and started on the successor until the entry had heard of that one.

Cause: an order named no worker. The agent took it for the worker that it had when the order arrived, or when one that had waited was started, or when its start was sent again.

Change: RunOrder names the worker and its start time, from the state that the entry placed the run by. The agent returns an order for another process as not started ("other_worker"), on arrival and when it would be started; the same name with another start time counts too, if both times are known. A start that was sent before a restart is not sent again to the new process. The return ends no run, reports no crash and counts against no worker; the message that returns it carries the state of the present worker, so the entry doesn't choose by the former state again. Orders of older entries name no worker, and are started as before.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -223,6 +223,7 @@
     request.spec = order.spec;
     request.requestId = order.requestId;
     request.queue = order.queue;
+    request.worker = {order.worker, order.workerBornMs};
     request.rank = clockUs(now) / 1000 + order.rank; // order.rank is relative, since the clocks differ.
     request.startDeadline = now + Milliseconds(order.patienceMs);
     // An order that was delayed for this long must not start: the entry has abandoned it or is about to.
--- a/request/work_scheduler.cpp
+++ b/request/work_scheduler.cpp
@@ -365,6 +365,8 @@
     order.taskIndex = taskIndex;
     order.attempt = static_cast<int>(task.attempt);
     order.spec = job.spec;
+    order.worker = worker;
+    order.workerBornMs = view.state.bornMs;
     order.demand = toWire(step.definition.demand);
     order.rank = job.latestStartAt < now ? LateRankOffsetMs - slackMs : slackMs;
     order.patienceMs = static_cast<int>(options_.selector.queueTimeout.count());
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -22,6 +22,18 @@
     return absl::StrCat(key.jobId, "/", key.step, "/", key.task, "/", key.attempt);
 }
 
+/**
+ * Whether an order was placed for this process, as far as is known: older entries name no worker, and some workers
+ * don't report their start time.
+ */
+bool isPlacedFor(const RunRequest &request, const WorkerIdentity &worker)
+{
+    const WorkerIdentity &chosen = request.worker;
+    const bool isSameProcess
+        = chosen.startTimeMs == worker.startTimeMs || chosen.startTimeMs == 0 || worker.startTimeMs == 0;
+    return chosen.id.empty() || (chosen.id == worker.id && isSameProcess);
+}
+
 } // namespace
 
 WorkerSupervisor::WorkerSupervisor(WorkerTiming timing, int64_t fence, const EntryLiveness &entryLiveness)
@@ -140,8 +152,27 @@
     }
 }
 
+/**
+ * Rejects the waiting runs that were placed for an earlier worker: the present one may be of another service or without
+ * the labels that they require, also if it has the same ID.
+ */
+void WorkerSupervisor::rejectMisplacedRuns()
+{
+    if (!worker_) {
+        return;
+    }
+    const auto isMisplaced = [&](const RunRequest &request) { return !isPlacedFor(request, worker_->identity); };
+    for (const RunRequest &request : queue_) {
+        if (isMisplaced(request)) {
+            rejectRun(request, "other_worker");
+        }
+    }
+    std::erase_if(queue_, isMisplaced);
+}
+
 void WorkerSupervisor::startQueuedRuns(MonotonicTime now)
 {
+    rejectMisplacedRuns();
     if (!canStartRuns()) {
         return;
     }
@@ -327,7 +358,7 @@
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
         if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts
-            && now < entryLiveness_.validUntil(run.request.orderId)) {
+            && isPlacedFor(run.request, worker_->identity) && now < entryLiveness_.validUntil(run.request.orderId)) {
             // The worker treats a repeated StartRun as the same run.
             ++run.startsSent;
             sendStart(run, now);
@@ -363,7 +394,8 @@
     if (reply.rejection == Rejection::StaleFence) {
         raiseFence(run.fence == fence_ ? fence_ + FenceIncrement : fence_);
     }
-    const bool canRetry = reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence;
+    const bool canRetry = (reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence)
+        && isPlacedFor(request, worker_->identity);
     if (canRetry && !isStopping && run.retries < MaxStartRetries) {
         const int retries = run.retries + 1;
         RunRequest retried = request;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -27,6 +27,7 @@
     std::string spec;
     std::string requestId; ///< Used in logs only.
     std::string queue; ///< Of the job; named in reports of crashes.
+    WorkerIdentity worker; ///< The process that the entry chose; without an ID if it named none.
     int64_t rank = 0; ///< Lower starts first.
     MonotonicTime startDeadline; ///< Rejected if it could not be started by then.
 };
@@ -172,6 +173,7 @@
     void dropAllRuns(const std::string &reason, MonotonicTime now);
     void reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now);
     void retractCrash(const std::string &evidence);
+    void rejectMisplacedRuns();
     void startQueuedRuns(MonotonicTime now);
     void rejectOverdueRuns(MonotonicTime now);
     void startRun(RunRequest request, MonotonicTime now);
--- a/tests/request/work_agent_orders_test.cpp
+++ b/tests/request/work_agent_orders_test.cpp
@@ -71,6 +71,29 @@
     CHECK(sent.at(0).ends[0].outcome == wire::RunOutcome::NOT_STARTED);
 }
 
+// Guards against a task on a worker of the wrong kind, see the cases of the supervisor: the name is lost on the way.
+TEST_CASE("An order that names a former worker of the agent is returned")
+{
+    ConnectedAgent fixture;
+    wire::RunInstruction instruction;
+    wire::RunOrder order;
+    order.runNumber = 1;
+    order.jobId = "placed-before";
+    order.attempt = 1;
+    order.demand.cpuMillis = 1000;
+    order.patienceMs = 250;
+    order.worker = GENERATE("worker", "former");
+    order.workerBornMs = order.worker == "former" ? 7 : 6;
+    instruction.__set_order(order);
+    fixture.deliverBatch(0, {instruction}, Start + Milliseconds(20));
+    const auto sent = fixture.flushMessages(Start + Milliseconds(20));
+    CHECK(fixture.starts.empty());
+    REQUIRE(sent.contains(0));
+    REQUIRE(sent.at(0).ends.size() == 1);
+    CHECK(sent.at(0).ends[0].outcome == wire::RunOutcome::NOT_STARTED);
+    CHECK(sent.at(0).ends[0].reason == "other_worker");
+}
+
 TEST_CASE("An agent that wakes sends no start for an entry that has given it up whatever the order of events")
 {
     // Guards against two runs of one task: the entry ends the session of a silent agent and orders the task elsewhere.
--- a/tests/request/work_scheduler_test.cpp
+++ b/tests/request/work_scheduler_test.cpp
@@ -456,3 +456,34 @@
         CHECK(fixture.takeOrders(now).empty());
     }
 }
+
+// Guards against a task on a worker of the wrong kind: its order named no worker, and the agent had another one by
+// then.
+TEST_CASE("An order names the worker it was placed for, and one that comes back from its successor goes there again")
+{
+    SchedulerFixture fixture;
+    const auto report = [&](int64_t bornMs, int64_t sentAtUs) {
+        wire::AgentBatch batch = agentBatch("a", "north", 16'000);
+        batch.worker.bornMs = bornMs;
+        batch.sentAtUs = sentAtUs;
+        if (const auto view = fixture.directory.views().find("a"); view != fixture.directory.views().end()) {
+            batch.session = view->second.session;
+            batch.acknowledged = view->second.instructions.newestSequenceNumber();
+        }
+        fixture.directory.handleBatch(1, batch, Start);
+        fixture.directory.updateActivity(fixture.operatorState, Start);
+    };
+    report(7, 1);
+    fixture.submit("job", route("quote", 0), 1, 60);
+    const auto first = fixture.takeOrders(Start);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].second.worker == "w-a");
+    CHECK(first[0].second.workerBornMs == 7);
+    for (int64_t born = 8; born < 20; ++born) { // More often than runs may be lost and workers fail.
+        report(born, born);
+        fixture.endRun("a", first[0].second.runNumber + born - 8, wire::RunOutcome::NOT_STARTED, Start);
+        const auto again = fixture.takeOrders(Start);
+        REQUIRE(again.size() == 1);
+        CHECK(again[0].second.workerBornMs == born);
+    }
+}
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -303,6 +303,9 @@
     10: string requestId,
     /** The queue of the job, named again in reports of crashes. */
     11: string queue,
+    /** The worker whose state the entry placed the run by, as in WorkerState; empty in orders of older entries. */
+    12: string worker,
+    13: i64 workerBornMs = 0,
 }
 
 /** What waits at an entry for a worker of one service. */
