Agent: raise the fence above those that entries know of its earlier processes

What callers saw: a task could run twice, after an agent restarted with its clock set back beside a worker that restarted.

Cause: the first fence of an agent is its time of day, and a worker that has restarted knows no fence. With the clock set back, late calls of the agent's earlier process had the higher fence: a start among them took effect after the agent had reported the worker as cleared.

Change: agents report their fence. Entries keep the highest one for each agent, beyond the end of an incarnation and also from messages that are outdated otherwise, and send an agent the highest of its other incarnations. An agent that hears of a fence at or above its own raises its own above it, and starts nothing and reports no cleared worker before the worker has accepted that fence. `cleared` counts only in an answer to the entry's session, so it is sent after the agent has heard of the fence that this entry knows.

An agent's own fence never comes back to it, and a raised fence is above the reported one, so the same report raises it once. The raise leaves 60,000 for increments after the last report. Peers without the fields report 0, which changes nothing.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -128,6 +128,7 @@
     if (batch == nullptr || found == entries_.end() || batch->agentIncarnation != options_.incarnation) {
         return;
     }
+    supervisor_.handleEarlierFence(batch->fence, now);
     Entry &entry = found->second;
     if (batch->incarnation == entry.incarnation && batch->session < entry.session) {
         return;
@@ -439,6 +440,7 @@
         batch.__set_operatorState(operatorStateCache_.state());
     }
     batch.cleared = supervisor_.isReconciled();
+    batch.fence = supervisor_.fence();
     batch.connectedEntries = connectedEntries_;
     batch.wantsOperatorState = std::exchange(entry.isAskedForState, false);
     batch.crashes = crashLog_.reportsAfter(entry.lastCrashSent, now);
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -46,7 +46,7 @@
     Milliseconds maxReconnectDelay{3000}; ///< Bound of the delay, which doubles with each attempt.
     Milliseconds entryListPollInterval{1500}; ///< Interval between reads of the list of entries while none answers.
     Milliseconds shutdownTimeout{5200}; ///< The process exits this long after a drain request, even if runs remain.
-    int64_t initialFence = 0; ///< Higher than any fence of an earlier incarnation.
+    int64_t initialFence = 0; ///< Should be higher than any fence of an earlier incarnation.
     bool offers = false; ///< Offers scarce capacity to the entry with the most urgent waiting work.
 };
 
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -55,6 +55,7 @@
 std::optional<AgentUpdate> WorkerDirectory::handleBatch(LinkId link, const wire::AgentBatch &batch, MonotonicTime now)
 {
     WorkerView &view = views_[batch.agent];
+    recordFence(view, batch);
     const bool isNew = view.incarnation != batch.incarnation;
     if (isNew ? !mayBeSuccessor(view, batch, now) : batch.sentAtUs < view.lastAgentTimeUs) {
         return std::nullopt;
@@ -418,6 +419,7 @@
     batch.incarnation = incarnation_;
     batch.session = view.session;
     batch.agentIncarnation = view.incarnation;
+    batch.fence = view.fences.highestOfOthers(view.incarnation);
     batch.echoedUs = view.lastAgentTimeUs;
     batch.firstSequence = view.instructions.nextSequenceNumber();
     batch.instructions = view.instructions.takeUnsent();
--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "event/link_event.h"
+#include "request/agent_fences.h"
 #include "request/demand.h"
 #include "request/idle_capacity.h"
 #include "request/operator_state_cache.h"
@@ -47,6 +48,7 @@
     std::string agent;
     std::string incarnation; ///< Of the agent.
     std::vector<std::string> previousIncarnations; ///< Messages from them may still be in flight.
+    AgentFences fences;
     LinkId link = LocalLink;
     wire::WorkerState state;
     std::string lastWorker; ///< Kept while the agent has no worker.
@@ -180,6 +182,7 @@
     }
 
 private:
+    void recordFence(WorkerView &view, const wire::AgentBatch &batch);
     bool mayBeSuccessor(const WorkerView &view, const wire::AgentBatch &batch, MonotonicTime now) const;
     void beginSession(WorkerView &view);
     void updateAvailable(WorkerView &view, MonotonicTime now);
--- a/request/worker_directory_sessions.cpp
+++ b/request/worker_directory_sessions.cpp
@@ -7,6 +7,16 @@
 /** The part of WorkerDirectory that decides which incarnation and session of an agent count. */
 namespace marjoramferry {
 
+/** Records the fence of a message, also if it is outdated otherwise: the calls under that fence may be late as well. */
+void WorkerDirectory::recordFence(WorkerView &view, const wire::AgentBatch &batch)
+{
+    if (view.fences.record(batch.incarnation, batch.fence) == FenceReport::Refused) {
+        out_.log(LogEvent::Level::Warning,
+                 "fence_refused",
+                 {{"agent", batch.agent}, {"incarnation", batch.incarnation}, {"fence", absl::StrCat(batch.fence)}});
+    }
+}
+
 /**
  * Whether a message may be of the successor of the agent's known incarnation. Incarnations have no order, and messages
  * of one that has ended may be under way for long, so the known one is not replaced while it is connected and heard of.
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -66,7 +66,10 @@
 class WorkerSupervisor
 {
 public:
-    /** @p fence must be higher than any used by an earlier incarnation of this agent, such as a wall clock time. */
+    /**
+     * @p fence should be higher than any used by an earlier incarnation of this agent, such as a wall clock time; see
+     * handleEarlierFence().
+     */
     WorkerSupervisor(WorkerTiming timing, int64_t fence, const EntryLiveness &entryLiveness);
 
     struct Output
@@ -88,6 +91,9 @@
     /** Withdraws all runs ordered by the entry in sessions before @p session. */
     void withdrawSessionsBefore(const std::string &entryIncarnation, int64_t session, MonotonicTime now);
     void handleReply(const WorkerReply &reply, MonotonicTime now);
+
+    /** Handles that an earlier incarnation of this agent has used the fence. */
+    void handleEarlierFence(int64_t fence, MonotonicTime now);
     void tick(MonotonicTime now);
 
     /** Rejects queued and new runs; runs on the worker continue. */
@@ -100,6 +106,12 @@
     wire::WorkerState state() const;
     wire::WorkerRoom freeCapacity() const;
 
+    /** Fence of the calls to the worker. */
+    int64_t fence() const
+    {
+        return fence_;
+    }
+
     /** Whether no runs of earlier incarnations of this agent remain on the worker. */
     bool isReconciled() const
     {
@@ -216,6 +228,7 @@
     WorkerLease lease_;
     int64_t fence_;
     int64_t requiredFence_ = 0; ///< Once the worker accepts this fence, no older start can take effect.
+    int64_t lastRefusedFence_ = 0; ///< The last implausible one that was reported.
     int64_t acceptedFence_ = 0; ///< Highest fence the worker is known to have accepted.
     int64_t lastCallId_ = 0;
     int64_t lastCallBeforeWorker_ = 0; ///< Calls up to this one were sent to another worker.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -1,3 +1,4 @@
+#include "request/agent_fences.h"
 #include "request/worker_supervisor.h"
 
 #include <absl/strings/str_cat.h>
@@ -7,6 +8,16 @@
 /** The part of WorkerSupervisor that decides which process is beside the agent. */
 namespace marjoramferry {
 
+namespace {
+
+/**
+ * The earlier process may have raised its fence after its last report, by one for each unanswered start: a few hundred
+ * times a second, and an entry on standby has a report every 4 s.
+ */
+constexpr int64_t UnreportedFences = 60'000;
+
+} // namespace
+
 void WorkerSupervisor::handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     if (!worker_) {
@@ -221,6 +232,29 @@
     }
 }
 
+void WorkerSupervisor::handleEarlierFence(int64_t fence, MonotonicTime now)
+{
+    if (fence <= 0 || fence < fence_) {
+        return;
+    }
+    if (fence > MaxReportedFence) {
+        if (std::exchange(lastRefusedFence_, fence) != fence) {
+            log(LogEvent::Level::Warning, "fence_refused", {{"fence", absl::StrCat(fence)}});
+        }
+        return;
+    }
+    log(LogEvent::Level::Warning,
+        "fence_raised",
+        {{"fence", absl::StrCat(fence_)}, {"earlier_fence", absl::StrCat(fence)}});
+    raiseFence(fence + UnreportedFences);
+    requiredFence_ = fence_;
+    isReconciled_ = false;
+    isLeaseUnknown_ = true; // Late calls of the earlier process may extend the lease until then.
+    if (worker_) {
+        sendPoll(Milliseconds(0), false, now);
+    }
+}
+
 void WorkerSupervisor::forgetWorker()
 {
     worker_.reset();
--- a/tests/request/work_agent_orders_test.cpp
+++ b/tests/request/work_agent_orders_test.cpp
@@ -94,6 +94,34 @@
     CHECK(sent.at(0).ends[0].reason == "other_worker");
 }
 
+// Guards against two runs of a task: an agent whose clock was set back told the entry that no earlier run was left,
+// while a late start of its earlier process could still reach the worker.
+TEST_CASE("An agent that hears of an earlier fence reports no cleared worker before that one has accepted a higher one")
+{
+    ConnectedAgent fixture;
+    wire::EntryBatch batch;
+    batch.entry = "entry-0";
+    batch.incarnation = "entry-0-1";
+    batch.session = 2;
+    batch.agentIncarnation = "agent-1";
+    batch.echoedUs = std::chrono::duration_cast<Microseconds>((Start + Milliseconds(20)).time_since_epoch()).count();
+    batch.fence = 5000;
+    const auto reportAt = [&](MonotonicTime now) {
+        fixture.agent.handle(Tick{}, now);
+        return fixture.flushMessages(now).at(0);
+    };
+    fixture.agent.handle(PeerMessage{addressOf(0), batch}, Start + Milliseconds(20));
+    const wire::AgentBatch before = reportAt(Start + Milliseconds(200));
+    CHECK_FALSE(before.cleared);
+    CHECK_FALSE(before.room.takesRuns);
+    CHECK(before.fence > batch.fence);
+    CHECK(fixture.polls.back().fence == before.fence);
+    fixture.agent.handle(fixture.listed({}, {}), Start + Milliseconds(201));
+    const wire::AgentBatch after = reportAt(Start + Milliseconds(400));
+    CHECK(after.cleared);
+    CHECK(after.room.takesRuns);
+}
+
 TEST_CASE("An agent that wakes sends no start for an entry that has given it up whatever the order of events")
 {
     // Guards against two runs of one task: the entry ends the session of a silent agent and orders the task elsewhere.
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -434,6 +434,8 @@
     14: bool standby = false,
     /** Set if tasks wait that the worker of the agent could run. */
     15: optional WaitingWork waiting,
+    /** Highest fence that other incarnations of the agent have reported; 0 if none is known. */
+    16: i64 fence = 0,
 }
 
 /** Agent to entry, sent repeatedly; numbered like EntryBatch. */
@@ -462,6 +464,8 @@
     16: bool wantsOperatorState = false,
     /** Crashes of the worker that were not sent over this connection yet. */
     17: list<WorkerCrash> crashes,
+    /** Of the agent's calls to its worker; 0 if not reported. */
+    18: i64 fence = 0,
 }
 
 /** Exactly one field is set. */
