Worker supervisor: start nothing on a restarted worker that has not announced itself

After a restart that only a listing showed, the supervisor kept what the former process had announced: runs were started by its capacity, and entries placed them by its labels, until the next announcement, up to 1,500 ms later.

After such a restart only the ID, the address and the start time hold. Labels, capacity and "leaving" are cleared, no run is offered, started, or sent again (neither the second copy of an unanswered start nor one refused as "old" or "fence"), and the first announcement of the process may name another service or domain. Service and domain are reported meanwhile, since entries group workers by them; takesRuns is false. A restart that a candidate had announced, and that the listing confirms, delays no start.

Three tests start a run after a restart that only a listing shows. In them the new process announces itself now, as the fault was what let them go on without; their checks are unchanged.

--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -326,7 +326,7 @@
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
-        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts
+        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts && isAnnounced_
             && now < entryLiveness_.validUntil(run.request.orderId)) {
             // The worker treats a repeated StartRun as the same run.
             ++run.startsSent;
@@ -364,7 +364,7 @@
         raiseFence(run.fence == fence_ ? fence_ + FenceIncrement : fence_);
     }
     const bool canRetry = reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence;
-    if (canRetry && !isStopping && run.retries < MaxStartRetries) {
+    if (canRetry && isAnnounced_ && !isStopping && run.retries < MaxStartRetries) {
         const int retries = run.retries + 1;
         RunRequest retried = request;
         runs_.erase(key);
@@ -703,7 +703,7 @@
 
 bool WorkerSupervisor::canStartRuns() const
 {
-    return worker_ && isReconciled_ && !worker_->leaving && !isDraining_ && !lease_.hasUnansweredCalls()
+    return worker_ && isAnnounced_ && isReconciled_ && !worker_->leaving && !isDraining_ && !lease_.hasUnansweredCalls()
         && lease_.isClockKnown();
 }
 
@@ -729,7 +729,7 @@
 wire::WorkerRoom WorkerSupervisor::freeCapacity() const
 {
     wire::WorkerRoom result;
-    if (worker_) {
+    if (worker_ && isAnnounced_) {
         Demand waiting;
         for (const RunRequest &request : queue_) {
             waiting = waiting + request.demand;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -205,6 +205,8 @@
     const WorkerTiming timing_;
     const EntryLiveness &entryLiveness_;
     std::optional<WorkerAnnouncement> worker_; ///< The known process, as last announced.
+    /** Whether it has announced itself. Only its ID, address and start time are known of a process that has not. */
+    bool isAnnounced_ = false;
     std::optional<SuccessorCandidate> candidate_; ///< An announced process that may have replaced it.
     bool hasDeparted_ = false; ///< It has said that it ends, and still has runs.
     CrashEvidence crashEvidence_; ///< About the current process of the worker.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -26,8 +26,9 @@
         discard(announcement, "older");
         return;
     }
-    const bool isConsistent = announcement.address == worker_->address && announcement.service == worker_->service
-        && announcement.domain == worker_->domain;
+    // The next process under an ID may be of another kind.
+    const bool isSameKind = announcement.service == worker_->service && announcement.domain == worker_->domain;
+    const bool isConsistent = announcement.address == worker_->address && (isSameKind || !isAnnounced_);
     if (!isConsistent && !hasAnswered() && runs_.empty()) {
         adoptWorker(announcement, now);
         return;
@@ -42,6 +43,7 @@
             {{"worker", announcement.identity.id}, {"leaving", announcement.leaving ? "1" : "0"}});
     }
     worker_ = announcement;
+    isAnnounced_ = true;
     worker_->clockMs = lease_.observeAnnouncedClock(announcement.clockMs, now);
     hasDeparted_ = false;
     lastAnnouncementAt_ = now;
@@ -129,6 +131,7 @@
         handleRestart(announcement.identity.startTimeMs, now, now);
     }
     worker_ = announcement;
+    isAnnounced_ = true;
     worker_->clockMs = lease_.observeAnnouncedClock(announcement.clockMs, now);
     lastAnnouncementAt_ = now;
 }
@@ -145,9 +148,15 @@
          {"start_time_ms", absl::StrCat(startTimeMs)},
          {"runs", absl::StrCat(runs_.size())}});
     reportCrash(wire::CrashStatus::DETECTED, "worker_restarted", now);
+    // The next process may be of another kind, so nothing is started before it has announced itself. Entries keep the
+    // service and domain until then, since they group workers by them.
     worker_->identity.startTimeMs = startTimeMs;
+    worker_->labels.clear();
+    worker_->capacity = {};
+    worker_->leaving = false;
     worker_->sequence = 0;
     worker_->clockMs = 0;
+    isAnnounced_ = false;
     restartDetectedAt_ = detectedAt;
     raiseFence(fence_ + 1);
     beginProcess(now);
@@ -187,6 +196,7 @@
 void WorkerSupervisor::adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     worker_ = announcement;
+    isAnnounced_ = true;
     candidate_.reset();
     lastCallBeforeWorker_ = lastCallId_;
     pendingPolls_.clear();
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -217,6 +217,7 @@
     supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Restart);
     const OutputByKind restarted(supervisor.takeOutput());
     supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Restart + Milliseconds(2));
+    supervisor.handleAnnouncement(announcement(1, 8), Start + Restart + Milliseconds(3));
     supervisor.takeOutput();
     const MonotonicTime started = Start + Restart + Milliseconds(5);
     fixture.proveEntryAlive(started);
--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -51,6 +51,79 @@
     CHECK(after.starts[0].leaseEndMs <= 21 + 1100 + 600);
 }
 
+// Guards against starts beyond the capacity, or on a worker of another kind: what the former process had announced
+// counted for the next one under its ID.
+TEST_CASE("A worker whose restart only a listing shows gets no start before it has announced itself")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    WorkerAnnouncement labelled = announcement(2);
+    labelled.labels = {"a"};
+    supervisor.handleAnnouncement(labelled, Start);
+    const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1), Start);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Milliseconds(10));
+    const OutputByKind restarted(supervisor.takeOutput());
+    REQUIRE_FALSE(restarted.polls.empty());
+    supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Milliseconds(11));
+    REQUIRE(supervisor.isReconciled());
+    supervisor.requestRun(runRequest("after", 2), Start + Milliseconds(12));
+    supervisor.handleAnnouncement(labelled, Start + Milliseconds(13)); // A delayed one of the former process.
+    CHECK(OutputByKind(supervisor.takeOutput()).starts.empty());
+    CHECK(supervisor.state().worker == "worker-1");
+    CHECK(supervisor.state().bornMs == 8);
+    CHECK(supervisor.state().labels.empty());
+    CHECK(supervisor.state().capacity == wire::WorkerState().capacity);
+    CHECK(supervisor.freeCapacity() == wire::WorkerRoom());
+
+    WorkerAnnouncement smaller = announcement(1, 8);
+    smaller.service = "returns";
+    smaller.capacity = {4000, 1024, 0};
+    supervisor.handleAnnouncement(smaller, Start + Milliseconds(14));
+    CHECK(OutputByKind(supervisor.takeOutput()).starts.empty());
+    CHECK(supervisor.state().serviceName == "returns");
+    CHECK(supervisor.freeCapacity().takesRuns);
+    supervisor.requestRun(runRequest("small", 3, 4000), Start + Milliseconds(15));
+    CHECK(OutputByKind(supervisor.takeOutput()).starts.size() == 1);
+}
+
+// Guards against the same for a start that a process refuses or leaves unanswered, and that is sent again.
+TEST_CASE("A start is not sent again to a restarted worker that has not announced itself")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
+    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(5));
+    const OutputByKind sent(supervisor.takeOutput());
+    REQUIRE(sent.starts.size() == 1);
+    supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Milliseconds(10));
+    supervisor.takeOutput();
+    const int64_t callId = sent.starts[0].callId;
+    supervisor.handleReply(GENERATE_COPY(unanswered(callId),
+                                         rejected(callId, Rejection::StaleFence),
+                                         rejected(callId, Rejection::OldAttempt)),
+                           Start + Milliseconds(25));
+    CHECK(OutputByKind(supervisor.takeOutput()).starts.empty());
+}
+
+// Guards against runs that wait for an announcement that has come already.
+TEST_CASE("A worker that announced its restart before a listing shows it gets starts at once")
+{
+    ReconciledSupervisor fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    WorkerAnnouncement next = announcement(1, 8);
+    next.labels = {"b"};
+    supervisor.handleAnnouncement(next, Start + Milliseconds(10));
+    const OutputByKind asked(supervisor.takeOutput());
+    REQUIRE(asked.polls.size() == 1);
+    supervisor.handleReply(listed(asked.polls[0].callId, {}, {}, 8), Start + Milliseconds(11));
+    const OutputByKind fenced(supervisor.takeOutput());
+    REQUIRE_FALSE(fenced.polls.empty());
+    supervisor.handleReply(listed(fenced.polls.back().callId, {}, {}, 8), Start + Milliseconds(12));
+    CHECK(supervisor.state().labels == std::vector<std::string>{"b"});
+    supervisor.requestRun(runRequest("after", 1), Start + Milliseconds(13));
+    CHECK(OutputByKind(supervisor.takeOutput()).starts.size() == 1);
+}
+
 // Guards against two runs of a task: the replies of a process that was started after the wall clock was set back were
 // taken for those of an earlier one, and its runs for gone while their lease was renewed.
 TEST_CASE("Runs of a restarted worker that reports an earlier start time are kept as long as it lists them")
@@ -136,6 +209,7 @@
     supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Detected);
     const OutputByKind restarted(supervisor.takeOutput());
     supervisor.handleReply(listed(restarted.polls.back().callId, {}, {}, 8), Start + Accepted);
+    supervisor.handleAnnouncement(announcement(1, 8), Start + Accepted);
     supervisor.takeOutput();
     RunRequest request = runRequest("after", 2);
     request.startDeadline = Start + Milliseconds(4000);
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -205,6 +205,7 @@
     SECTION("a listing of the new process contains it")
     {
         supervisor.handleReply(listed(poll.callId, {{"after", 0, 0, 1}}, {}, 8), Start + Milliseconds(60));
+        supervisor.handleAnnouncement(announcement(1, 8), Start + Milliseconds(61));
     }
     SECTION("an announcement of the new process arrives first")
     {
