Worker directory: end the runs of an earlier incarnation once their lease has ended

If agent and worker end together and the agent comes back without a worker, it clears nothing, and it is heard of, so its session does not expire either: the earlier runs stayed open until the deadline of their jobs.

The time after which none of these runs can be left was known (earlierRunsEndAt, the session time-out after the last message of their incarnation), but was looked at only when the agent reported "cleared". The tick looks at it now. It ends the runs of sessions before the present one; session and runs of the new incarnation are not touched.

--- a/request/worker_directory.h
+++ b/request/worker_directory.h
@@ -104,7 +104,7 @@
     std::string replacedWorker; ///< The worker that the agent had before; empty if it has the same or had none.
 };
 
-/** An agent that was silent for too long; none of its runs of sessions before firstLiveSession is left. */
+/** An agent of which, after the time-out of earlier sessions, no run of sessions before firstLiveSession is left. */
 struct ExpiredSession
 {
     std::string agent;
@@ -134,7 +134,10 @@
     /** Activates a few workers on standby among those that @p isSuitable accepts. */
     void activateStandby(const std::function<bool(const WorkerView &)> &isSuitable, MonotonicTime now);
 
-    /** Begins a new session with each agent with runs that was silent for too long, and returns these agents. */
+    /**
+     * Begins a new session with each agent with runs that was silent for too long. Returns these agents, and those for
+     * whose earlier incarnation, from which runs were left, that time has passed.
+     */
     std::vector<ExpiredSession> expireSilentSessions(MonotonicTime now);
 
     void orderRun(WorkerView &view, const wire::RunOrder &order, MonotonicTime now);
--- a/request/worker_directory_sessions.cpp
+++ b/request/worker_directory_sessions.cpp
@@ -50,6 +50,14 @@
                       {"takes_runs", view.reported.takesRuns ? "1" : "0"},
                       {"leaving", view.isLeaving ? "1" : "0"}});
         }
+        if (!view.earlierWorkers.empty() && now > view.earlierRunsEndAt) {
+            // The agent may never clear them: it may have come back without a worker, or with another one.
+            view.earlierWorkers.clear();
+            out_.log(LogEvent::Level::Warning,
+                     "earlier_agent_session_expired",
+                     {{"agent", view.agent}, {"incarnation", view.incarnation}});
+            expired.push_back(ExpiredSession{view.agent, view.session});
+        }
         if (!view.mayHaveRuns() || now - view.lastMessageAt <= options_.sessionTimeout) {
             continue;
         }
