Worker supervisor: ask the worker also when an announced process has an earlier start time

An announcement under the known ID with an earlier start time was discarded as one of an earlier process.

Such a process is a candidate like any other now: the fence is raised, the worker is polled at once, and what answers the newer call decides. What delayed announcements of a process that has ended can cost is bounded: a listing that refutes a candidate under the known ID, or that shows a restart, proves that the other process has ended, and that one is remembered (EndedProcesses, 60 s, 16 processes). Its further announcements are discarded, also while no worker is known; a listing that shows it takes that back. Candidates that are announced in turn no longer replace each other (up to 8), so one answer decides on all. A listing without a start time confirms no candidate with an earlier one, as before. A candidate that a listing names is confirmed also by the answer to a call from before its announcement, so its worker need not wait for the next one.

--- a/request/successor_candidate.cpp
+++ b/request/successor_candidate.cpp
@@ -20,10 +20,13 @@
 
 CandidateVerdict SuccessorCandidate::judge(const WorkerReply &reply, const WorkerIdentity &known) const
 {
+    const WorkerIdentity &candidate = announcement_.identity;
+    if (candidate == known) {
+        return CandidateVerdict::Confirmed; // A listing has shown its start time.
+    }
     if (reply.callId <= lastCallId_) {
         return CandidateVerdict::Undecided;
     }
-    const WorkerIdentity &candidate = announcement_.identity;
     if (reply.rejection == Rejection::OtherIncarnation) {
         // The process at the address has another name than the known one, so a candidate under that name is not there
         // either.
@@ -32,8 +35,11 @@
     if (reply.outcome != CallOutcome::Accepted || !reply.listing) {
         return CandidateVerdict::Undecided;
     }
-    // A worker that lists no start time can't be told from its successor under the same name.
-    const bool isCandidate = candidate == known || (candidate.id == known.id && reply.listing->startTimeMs == 0);
+    // A worker that lists no start time can't be told from its successor under the same name. An earlier start time is
+    // taken for that of a process that has ended then.
+    const int64_t listed = reply.listing->startTimeMs;
+    const bool isListed = listed == 0 ? candidate.startTimeMs >= known.startTimeMs : candidate.startTimeMs == listed;
+    const bool isCandidate = candidate.id == known.id && isListed;
     return isCandidate ? CandidateVerdict::Confirmed : CandidateVerdict::Refuted;
 }
 
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -247,8 +247,10 @@
     }
     if (process == ListedProcess::Later) {
         const WorkerIdentity later{worker_->identity.id, reply.listing->startTimeMs};
-        const bool wasAnnounced = candidate_ && candidate_->announcement().identity == later;
-        handleRestart(later.startTimeMs, wasAnnounced ? candidate_->since() : now, now);
+        endedProcesses_.add(worker_->identity, now);
+        endedProcesses_.remove(later);
+        const auto announced = findCandidate(later);
+        handleRestart(later.startTimeMs, announced != candidates_.end() ? announced->since() : now, now);
     }
     if (process != ListedProcess::None) {
         lastListedCall_ = std::max(lastListedCall_, reply.callId);
@@ -273,7 +275,9 @@
         pendingPolls_.erase(poll);
         onPollReply(sent, reply, now);
     }
-    judgeCandidate(reply, now);
+    if (worker_) {
+        judgeCandidates(reply, now);
+    }
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
@@ -564,7 +568,7 @@
     if (!worker_ || !isPollNeeded(now)) {
         return;
     }
-    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || candidate_;
+    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || !candidates_.empty();
     if (isRetry && now - lastPollAt_ < timing_.retryDelay) {
         return;
     }
@@ -579,7 +583,7 @@
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || candidate_ || lastEndAcknowledged_ < lastEndSeen_;
+        return !runs_.empty() || !isReconciled_ || !candidates_.empty() || lastEndAcknowledged_ < lastEndSeen_;
     }
     return pendingPolls_.size() == 1 && !runs_.empty()
         && now - pendingPolls_.begin()->second.sentAt >= timing_.secondPollDelay;
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -4,6 +4,7 @@
 #include "event/log_event.h"
 #include "request/crash_evidence.h"
 #include "request/crash_log.h"
+#include "request/ended_processes.h"
 #include "request/entry_liveness.h"
 #include "request/successor_candidate.h"
 #include "request/worker_lease.h"
@@ -156,9 +157,10 @@
     void updateWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
     void discard(const WorkerAnnouncement &announcement, const std::string &reason);
     void handleCandidate(const WorkerAnnouncement &announcement, MonotonicTime now);
-    void judgeCandidate(const WorkerReply &reply, MonotonicTime now);
+    void judgeCandidates(const WorkerReply &reply, MonotonicTime now);
     void acceptUnopposedCandidate(MonotonicTime now);
-    void acceptCandidate(MonotonicTime now);
+    void acceptCandidate(const WorkerAnnouncement &announcement, MonotonicTime now);
+    std::vector<SuccessorCandidate>::iterator findCandidate(const WorkerIdentity &process);
     void adoptWorker(const WorkerAnnouncement &announcement, MonotonicTime now);
     void forgetWorker();
     void beginProcess(MonotonicTime now);
@@ -207,7 +209,8 @@
     std::optional<WorkerAnnouncement> worker_; ///< The known process, as last announced.
     /** Whether it has announced itself. Only its ID, address and start time are known of a process that has not. */
     bool isAnnounced_ = false;
-    std::optional<SuccessorCandidate> candidate_; ///< An announced process that may have replaced it.
+    std::vector<SuccessorCandidate> candidates_; ///< Announced processes that may have replaced it, the newest last.
+    EndedProcesses endedProcesses_;
     bool hasDeparted_ = false; ///< It has said that it ends, and still has runs.
     CrashEvidence crashEvidence_; ///< About the current process of the worker.
     MonotonicTime restartDetectedAt_; ///< When this agent detected a restart of the worker.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -2,17 +2,27 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 /** The part of WorkerSupervisor that decides which process is beside the agent. */
 namespace marjoramferry {
 
+namespace {
+
+/** Any writer can announce processes, so their number has a bound. Answers decide on them within milliseconds. */
+constexpr size_t MaxCandidates = 8;
+
+} // namespace
+
 void WorkerSupervisor::handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
-    if (!worker_) {
-        adoptWorker(announcement, now);
-    } else if (announcement.identity == worker_->identity) {
+    if (worker_ && announcement.identity == worker_->identity) {
         updateWorker(announcement, now);
+    } else if (endedProcesses_.contains(announcement.identity, now)) {
+        discard(announcement, "ended_process");
+    } else if (!worker_) {
+        adoptWorker(announcement, now);
     } else {
         handleCandidate(announcement, now);
     }
@@ -60,17 +70,21 @@
          {"reason", reason}});
 }
 
-/** Handles the announcement of another process: asks the known one whether it is still there. */
+/**
+ * Handles the announcement of another process: asks the known one whether it is still there. Start times don't tell
+ * which process is the later one, since they are times of day. A process that the answer refutes is remembered, so
+ * delayed announcements of one that has ended cost one poll and one fence.
+ */
 void WorkerSupervisor::handleCandidate(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     const WorkerIdentity &candidate = announcement.identity;
     const bool isSameName = candidate.id == worker_->identity.id;
-    if (isSameName && candidate.startTimeMs < worker_->identity.startTimeMs && hasAnswered()) {
-        discard(announcement, "older_process");
+    if (const auto known = findCandidate(candidate); known != candidates_.end()) {
+        known->update(announcement);
         return;
     }
-    if (candidate_ && candidate_->announcement().identity == candidate) {
-        candidate_->update(announcement);
+    if (candidates_.size() >= MaxCandidates) {
+        discard(announcement, "other_candidates");
         return;
     }
     log(LogEvent::Level::Warning,
@@ -81,45 +95,65 @@
          {"address", announcement.address},
          {"start_time_ms", absl::StrCat(candidate.startTimeMs)},
          {"runs", absl::StrCat(runs_.size())}});
-    const bool isFirst = !candidate_;
-    candidate_.emplace(announcement, lastCallId_, now);
+    candidates_.emplace_back(announcement, lastCallId_, now);
     if (isSameName) {
         raiseFence(fence_ + 1); // Settles the starts that may be under way to either process.
     }
-    if (isFirst) {
+    if (candidates_.size() == 1) {
         sendPoll(Milliseconds(0), false, now);
     }
 }
 
-void WorkerSupervisor::judgeCandidate(const WorkerReply &reply, MonotonicTime now)
+std::vector<SuccessorCandidate>::iterator WorkerSupervisor::findCandidate(const WorkerIdentity &process)
 {
-    if (!candidate_ || !worker_) {
-        return;
+    return std::ranges::find(
+        candidates_, process, [](const SuccessorCandidate &each) { return each.announcement().identity; });
+}
+
+void WorkerSupervisor::judgeCandidates(const WorkerReply &reply, MonotonicTime now)
+{
+    std::optional<WorkerAnnouncement> confirmed;
+    std::vector<SuccessorCandidate> undecided;
+    for (SuccessorCandidate &each : std::exchange(candidates_, {})) {
+        const WorkerAnnouncement &announcement = each.announcement();
+        switch (each.judge(reply, worker_->identity)) {
+        case CandidateVerdict::Undecided:
+            undecided.push_back(std::move(each));
+            break;
+        case CandidateVerdict::Refuted:
+            discard(announcement, "known_process_answered");
+            // One under another ID may still be the next, and another ID at the address tells nothing of this one.
+            if (announcement.identity.id == worker_->identity.id && reply.listing) {
+                endedProcesses_.add(announcement.identity, now);
+            }
+            break;
+        case CandidateVerdict::Confirmed:
+            confirmed = announcement;
+            break;
+        }
     }
-    switch (candidate_->judge(reply, worker_->identity)) {
-    case CandidateVerdict::Undecided:
-        return;
-    case CandidateVerdict::Refuted:
-        discard(std::exchange(candidate_, std::nullopt)->announcement(), "known_process_answered");
-        return;
-    case CandidateVerdict::Confirmed:
-        acceptCandidate(now);
-        return;
+    candidates_ = std::move(undecided);
+    if (confirmed) {
+        acceptCandidate(*confirmed, now);
     }
 }
 
-/** Accepts the candidate if the known process has no runs and has not answered for the duration of a lease. */
+/** Accepts a candidate if the known process has no runs and has not answered for the duration of a lease. */
 void WorkerSupervisor::acceptUnopposedCandidate(MonotonicTime now)
 {
-    if (candidate_ && runs_.empty() && lastReplyAt_ < candidate_->since()
-        && now - candidate_->since() > timing_.leaseDuration) {
-        acceptCandidate(now);
+    const auto isUnopposed = [&](const SuccessorCandidate &each) {
+        return lastReplyAt_ < each.since() && now - each.since() > timing_.leaseDuration;
+    };
+    const auto newest = std::find_if(candidates_.rbegin(), candidates_.rend(), isUnopposed);
+    if (runs_.empty() && newest != candidates_.rend()) {
+        const WorkerAnnouncement announcement = newest->announcement();
+        candidates_.erase(findCandidate(announcement.identity));
+        acceptCandidate(announcement, now);
     }
 }
 
-void WorkerSupervisor::acceptCandidate(MonotonicTime now)
+void WorkerSupervisor::acceptCandidate(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
-    const WorkerAnnouncement announcement = std::exchange(candidate_, std::nullopt)->announcement();
     if (announcement.identity.id != worker_->identity.id) {
         if (!runs_.empty()) {
             handleReplacement(now);
@@ -197,7 +231,7 @@
 {
     worker_ = announcement;
     isAnnounced_ = true;
-    candidate_.reset();
+    candidates_.clear();
     lastCallBeforeWorker_ = lastCallId_;
     pendingPolls_.clear();
     if (hasAnswered()) {
@@ -234,7 +268,7 @@
 void WorkerSupervisor::forgetWorker()
 {
     worker_.reset();
-    candidate_.reset();
+    candidates_.clear();
     hasDeparted_ = false;
     isReconciled_ = false;
 }
