--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -278,8 +278,10 @@
     }
     if (process == ListedProcess::Later) {
         const WorkerIdentity later{worker_->identity.id, reply.listing->startTimeMs};
-        const bool wasAnnounced = candidate_ && candidate_->announcement().identity == later;
-        handleRestart(later.startTimeMs, wasAnnounced ? candidate_->since() : now, now);
+        endedProcesses_.add(worker_->identity, now);
+        endedProcesses_.remove(later);
+        const auto announced = findCandidate(later);
+        handleRestart(later.startTimeMs, announced != candidates_.end() ? announced->since() : now, now);
     }
     if (process != ListedProcess::None) {
         lastListedCall_ = std::max(lastListedCall_, reply.callId);
@@ -304,7 +306,9 @@
         pendingPolls_.erase(poll);
         onPollReply(sent, reply, now);
     }
-    judgeCandidate(reply, now);
+    if (worker_) {
+        judgeCandidates(reply, now);
+    }
     startQueuedRuns(now);
     sendPollIfNeeded(now);
 }
@@ -357,7 +361,7 @@
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
-        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts
+        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts && isAnnounced_
             && isPlacedFor(run.request, worker_->identity) && now < entryLiveness_.validUntil(run.request.orderId)) {
             // The worker treats a repeated StartRun as the same run.
             ++run.startsSent;
@@ -395,7 +399,7 @@
         raiseFence(run.fence == fence_ ? fence_ + FenceIncrement : fence_);
     }
     const bool canRetry = (reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence)
-        && isPlacedFor(request, worker_->identity);
+        && isAnnounced_ && isPlacedFor(request, worker_->identity);
     if (canRetry && !isStopping && run.retries < MaxStartRetries) {
         const int retries = run.retries + 1;
         RunRequest retried = request;
@@ -596,7 +600,7 @@
     if (!worker_ || !isPollNeeded(now)) {
         return;
     }
-    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || candidate_;
+    const bool isRetry = lease_.hasUnansweredCalls() || !isReconciled_ || !candidates_.empty();
     if (isRetry && now - lastPollAt_ < timing_.retryDelay) {
         return;
     }
@@ -611,7 +615,7 @@
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || candidate_ || lastEndAcknowledged_ < lastEndSeen_;
+        return !runs_.empty() || !isReconciled_ || !candidates_.empty() || lastEndAcknowledged_ < lastEndSeen_;
     }
     return pendingPolls_.size() == 1 && !runs_.empty()
         && now - pendingPolls_.begin()->second.sentAt >= timing_.secondPollDelay;
@@ -735,7 +739,7 @@
 
 bool WorkerSupervisor::canStartRuns() const
 {
-    return worker_ && isReconciled_ && !worker_->leaving && !isDraining_ && !lease_.hasUnansweredCalls()
+    return worker_ && isAnnounced_ && isReconciled_ && !worker_->leaving && !isDraining_ && !lease_.hasUnansweredCalls()
         && lease_.isClockKnown();
 }
 
@@ -761,7 +765,7 @@
 wire::WorkerRoom WorkerSupervisor::freeCapacity() const
 {
     wire::WorkerRoom result;
-    if (worker_) {
+    if (worker_ && isAnnounced_) {
         Demand waiting;
         for (const RunRequest &request : queue_) {
             waiting = waiting + request.demand;
