Soak: report how much of a processor the soak itself uses

A run whose own process is the limit forwards and submits late, which looks like a late entry or a low load. The summary now has the length of both submissions and the processor time in them.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -34,7 +34,7 @@
 from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, SERVICE_CONNECTIONS, WORKERS, WORKER_CPU_MILLIS,
                              Deployment, Proxy, Settings, http, write_row)
 from soak_faults import inject_faults, start_optional_faults, write_odd_entries
-from soak_observation import start_watching_entries, wall_time, watch_stalls
+from soak_observation import TimeUse, start_watching_entries, wall_time, watch_stalls
 
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
@@ -176,12 +176,13 @@
         odd_task = asyncio.create_task(write_odd_entries(deployment, random.Random(f"odd {seed}"), seconds))
         optional_tasks = start_optional_faults(deployment, seed, seconds)
         worker_tasks = [asyncio.create_task(deployment.restart_crashed(f"workr{i}")) for i in range(settings.workers)]
-        start_time = time.monotonic()
+        start_time, fault_time = time.monotonic(), TimeUse()
         while not fault_task.done() or time.monotonic() - start_time < seconds:
             job = f"{rng.getrandbits(64):016x}"
             crashes = rng.random() < CRASHING_SHARE
             clients.append(asyncio.create_task(client(deployment, job, results, crashes, settings)))
             await asyncio.sleep(rng.uniform(0.02, 0.08) / settings.load)
+        fault_time.end()
         await asyncio.gather(fault_task, odd_task, *optional_tasks)
         await asyncio.gather(*clients)
         deployment.stop_busy_processes()
@@ -190,11 +191,11 @@
         start_watching_entries(deployment)
         await asyncio.sleep(4)
         stall_task = asyncio.create_task(watch_stalls(stalls))
-        submitting_from, used_from = time.monotonic(), time.process_time()
+        final_time = TimeUse()
         for _ in range(FINAL_JOBS):
             clients.append(asyncio.create_task(client(deployment, f"{rng.getrandbits(64):016x}", final_results)))
             await asyncio.sleep(FINAL_INTERVAL_S)
-        submitting_s, used_s = time.monotonic() - submitting_from, time.process_time() - used_from
+        final_time.end()
         await asyncio.gather(*clients)
         for task in worker_tasks + [stall_task]:
             task.cancel()
@@ -213,9 +214,9 @@
     if served < len(final_results):
         violations.append(f"after the faults {served} of {len(final_results)} jobs were served")
     total = sum(1 for record in results if record.get("answer", (0, ""))[0] == 200)
-    return violations, (f"{total} of {len(results)} jobs served under faults (after them this process submitted for "
-                        f"{submitting_s:.2f} s with {used_s:.2f} s of processor time, and stood still for up to "
-                        f"{max(stalls, default=0) * 1000:.0f} ms)")
+    return violations, (f"{total} of {len(results)} jobs served under faults (submitted for {fault_time} under faults, "
+                        f"for {final_time} after them, and stood still for up to "
+                        f"{max(stalls, default=0) * 1000:.0f} ms then)")
 
 
 def main():
--- a/misc/soak_observation.py
+++ b/misc/soak_observation.py
@@ -15,6 +15,19 @@
     return datetime.now(timezone.utc).isoformat(timespec="milliseconds")
 
 
+class TimeUse:
+    """Measures a time and how much processor time this process uses in it: at 100 %, the soak itself is the limit."""
+
+    def __init__(self):
+        self.start = time.monotonic(), time.process_time()
+
+    def end(self):
+        self.seconds, self.used_s = time.monotonic() - self.start[0], time.process_time() - self.start[1]
+
+    def __str__(self):
+        return f"{self.seconds:.2f} s with {100 * self.used_s / self.seconds:.0f} % of a processor"
+
+
 async def watch_stalls(stalls, interval_s=0.02):
     """Records for how long this process has stood still, which tells a shortage of processor time from a fault."""
     while True:
