--- a/misc/soak.py
+++ b/misc/soak.py
@@ -34,7 +34,7 @@
 from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, SERVICE_CONNECTIONS, WORKERS, WORKER_CPU_MILLIS,
                              Deployment, Proxy, Settings, http, write_row)
 from soak_faults import inject_faults, start_optional_faults, write_odd_entries
-from soak_observation import TimeUse, start_watching_entries, wall_time, watch_stalls
+from soak_observation import TimeUse, longest_wait_ms, start_watching_entries, wall_time, watch_stalls
 
 CRASHING_SHARE = 0.02  # Of the jobs under faults.
 MAX_CRASHES = 3  # A task that crashed so many workers must not be started again.
@@ -215,8 +215,9 @@
         violations.append(f"after the faults {served} of {len(final_results)} jobs were served")
     total = sum(1 for record in results if record.get("answer", (0, ""))[0] == 200)
     return violations, (f"{total} of {len(results)} jobs served under faults (submitted for {fault_time} under faults, "
-                        f"for {final_time} after them, and stood still for up to "
-                        f"{max(stalls, default=0) * 1000:.0f} ms then)")
+                        f"for {final_time} after them, stood still for up to {max(stalls, default=0) * 1000:.0f} ms "
+                        f"then; a thread of an entry waited for a processor for up to "
+                        f"{longest_wait_ms(f'{work}/watch.log')} ms)")
 
 
 def main():
--- a/misc/soak_observation.py
+++ b/misc/soak_observation.py
@@ -87,6 +87,15 @@
     return result
 
 
+def longest_wait_ms(path):
+    """Returns how long a thread of an entry waited for a processor between two samples, which is when it ran again."""
+    with open(path) as lines:
+        samples = [json.loads(line) for line in lines if line.endswith("}\n")]
+    return max((now[2] - before[2]
+                for earlier, later in zip(samples, samples[1:]) for name in later if name.startswith("entry")
+                for before, now in zip(earlier[name]["threads"], later[name]["threads"])), default=0)
+
+
 def start_watching_entries(deployment):
     """Samples the threads and the HTTP sockets of the entries, in a process of its own: a sample takes up to 70 ms."""
     entries = [(name, deployment.processes[name].pid, [deployment.port("http", i), deployment.client_port(i)])
