Soak: keep sampling the other entries when one has ended

At the end of a run the entries are killed before the process that samples them. An entry that has ended now has no threads, and only complete samples are read.

--- a/misc/soak_observation.py
+++ b/misc/soak_observation.py
@@ -58,13 +58,18 @@
 
 
 def read_threads(pid):
-    """Returns the state of each thread, its milliseconds with and waiting for a processor, and where it waits."""
+    """Returns the state of each thread, its milliseconds with and waiting for a processor, and where it waits.
+
+    The result is empty if the process has ended."""
     threads = []
-    for thread in sorted(os.listdir(f"/proc/{pid}/task"), key=int):
-        state, schedule, wait = (read_text(f"/proc/{pid}/task/{thread}/{name}")
-                                 for name in ("stat", "schedstat", "wchan"))
-        run_ns, delay_ns, _ = schedule.split()
-        threads.append((state.rpartition(")")[2].split()[0], int(run_ns) // 10**6, int(delay_ns) // 10**6, wait))
+    try:
+        for thread in sorted(os.listdir(f"/proc/{pid}/task"), key=int):
+            state, schedule, wait = (read_text(f"/proc/{pid}/task/{thread}/{name}")
+                                     for name in ("stat", "schedstat", "wchan"))
+            run_ns, delay_ns, _ = schedule.split()
+            threads.append((state.rpartition(")")[2].split()[0], int(run_ns) // 10**6, int(delay_ns) // 10**6, wait))
+    except (FileNotFoundError, ProcessLookupError):
+        return []
     return threads
 
 
@@ -90,7 +95,7 @@
 def longest_wait_ms(path):
     """Returns how long a thread of an entry waited for a processor between two samples, which is when it ran again."""
     with open(path) as lines:
-        samples = [json.loads(line) for line in lines if line.endswith("}\n")]
+        samples = [json.loads(line) for line in lines if line.startswith("{") and line.endswith("}\n")]
     return max((now[2] - before[2]
                 for earlier, later in zip(samples, samples[1:]) for name in later if name.startswith("entry")
                 for before, now in zip(earlier[name]["threads"], later[name]["threads"])), default=0)
