--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -154,8 +154,7 @@
             operatorFeed_.tick(now);
             entryRegistry_.tick(now);
         }
-        if (const Milliseconds suspended = suspensions_.measure(now, monotonicNowWithoutSuspension());
-            suspended >= MinSuspension) {
+        if (const Milliseconds suspended = measureSuspension(); suspended >= MinSuspension) {
             batch.emplace_back(MachineResumed{suspended});
         }
         handlePass(batch);
@@ -170,6 +169,17 @@
     links_.stop();
 }
 
+/** For how long the machine was suspended since the last reading of the clocks, of which one is read before the other.
+ */
+Milliseconds WorkEntryProcess::measureSuspension()
+{
+    const MonotonicTime before = monotonicNowWithoutSuspension();
+    const MonotonicTime withSuspension = monotonicNow();
+    const MonotonicTime withoutSuspension = monotonicNowWithoutSuspension();
+    const bool wasHeldUp = withoutSuspension - before >= MinSuspension;
+    return wasHeldUp ? Milliseconds(0) : suspensions_.measure(withSuspension, withoutSuspension);
+}
+
 /**
  * Handles events, without those of callers that have disconnected. The connections are checked after the events were
  * taken from the queue and before tasks are dispatched: a process that wakes has events of callers that left while it
--- a/process/work_entry_process.h
+++ b/process/work_entry_process.h
@@ -42,6 +42,7 @@
 
 private:
     void handlePass(const std::vector<WorkEntryEvent> &events);
+    Milliseconds measureSuspension();
     void endCall(uint64_t token);
     void execute(WorkEntryCommand &command);
     void rejectRemaining();
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -17,8 +17,11 @@
 /** A stopping entry accepts a job only if the time left is this multiple of the expected run time, plus a margin. */
 constexpr int DrainSafetyFactor = 2;
 constexpr Milliseconds DrainMargin{300};
-/** Within this time after a suspension, calls that arrived before it have reached the entry's core. */
-constexpr Milliseconds ResumedIntakeTime{20};
+/**
+ * Within this time after a suspension, calls that arrived before it have reached the entry's core, and connections from
+ * before it are accepted. A processor quota can hold that up for 100 ms.
+ */
+constexpr Milliseconds ResumedIntakeTime{200};
 /** A peer's TCP waits this much longer than the suspension for its first retransmission after it, at most. */
 constexpr Milliseconds RetransmissionMargin{200};
 
@@ -73,8 +76,9 @@
     };
     append(scheduler_.takeCommands());
     append(directory_.takeCommands());
+    const bool hasJustResumed = resumedAt_ == now;
     for (CallResponse &each : scheduler_.takeResponses()) {
-        each.closesConnection = drainingSince_.has_value();
+        each.closesConnection = drainingSince_.has_value() || hasJustResumed;
         out_.emplace_back(std::move(each));
     }
     return std::exchange(out_, {});
@@ -111,7 +115,9 @@
     const std::string &jobId = destination->jobId;
     if (mayPredateSuspension(call.address, now)) {
         constexpr bool ClosesConnection = true; // So that the next call comes over a new one.
-        respond(call.address, scheduler_.refusalStatus(jobId, now), "machine_suspended", ClosesConnection);
+        const ResponseStatus status
+            = scheduler_.hasJob(jobId) ? ResponseStatus::Interrupted : scheduler_.refusalStatus(jobId, now);
+        respond(call.address, status, "machine_suspended", ClosesConnection);
         return;
     }
     if (drainingSince_ && !scheduler_.hasJob(jobId) && !canFinishBeforeShutdown(call.job, *destination->route, now)) {
@@ -318,7 +324,8 @@
         return;
     }
     resumedAt_ = now;
-    retransmittedUntil_ = now + suspended + RetransmissionMargin;
+    // A retransmission that falls into another suspension is repeated after that.
+    retransmittedUntil_ = std::max(retransmittedUntil_, now) + suspended + RetransmissionMargin;
     scheduler_.interruptAllJobs("machine_suspended", now);
 }
 
