Entry: close the connections of the calls that a suspension ends, whenever the flush reads the clock

Cause: the flush compared its own time with that of the event. They are equal in the tests only.

Measured: with a flush 1 ms later, the check of closesConnection in "Calls that may have arrived before a suspension ..." fails before the change and passes after it.

--- a/process/work_entry_process.cpp
+++ b/process/work_entry_process.cpp
@@ -169,8 +169,7 @@
     links_.stop();
 }
 
-/** For how long the machine was suspended since the last reading of the clocks, of which one is read before the other.
- */
+/** For how long the machine was suspended since the last measurement. A pause between the readings is no suspension. */
 Milliseconds WorkEntryProcess::measureSuspension()
 {
     const MonotonicTime before = monotonicNowWithoutSuspension();
--- a/request/work_entry.cpp
+++ b/request/work_entry.cpp
@@ -76,9 +76,8 @@
     };
     append(scheduler_.takeCommands());
     append(directory_.takeCommands());
-    const bool hasJustResumed = resumedAt_ == now;
     for (CallResponse &each : scheduler_.takeResponses()) {
-        each.closesConnection = drainingSince_.has_value() || hasJustResumed;
+        each.closesConnection = drainingSince_.has_value() || hasJustResumed(now);
         out_.emplace_back(std::move(each));
     }
     return std::exchange(out_, {});
@@ -329,6 +328,11 @@
     scheduler_.interruptAllJobs("machine_suspended", now);
 }
 
+bool WorkEntry::hasJustResumed(MonotonicTime now) const
+{
+    return resumedAt_ && now - *resumedAt_ <= ResumedIntakeTime;
+}
+
 /**
  * Whether the caller may have sent the call before the machine resumed, and may have left since. Over a connection that
  * was opened since, it can't have.
@@ -338,7 +342,7 @@
     if (!resumedAt_) {
         return false;
     }
-    return now - *resumedAt_ <= ResumedIntakeTime || (address.connectedAt < *resumedAt_ && now <= retransmittedUntil_);
+    return hasJustResumed(now) || (address.connectedAt < *resumedAt_ && now <= retransmittedUntil_);
 }
 
 bool WorkEntry::isReady(MonotonicTime now) const
--- a/request/work_entry.h
+++ b/request/work_entry.h
@@ -97,6 +97,7 @@
     };
 
     void onSubmit(const SubmitWork &call, MonotonicTime now);
+    bool hasJustResumed(MonotonicTime now) const;
     bool mayPredateSuspension(const CallAddress &address, MonotonicTime now) const;
     bool canFinishBeforeShutdown(const WorkJob &job, const wire::Route &route, MonotonicTime now) const;
     void onQuery(const QueryWork &call);
--- a/tests/request/work_entry_test.cpp
+++ b/tests/request/work_entry_test.cpp
@@ -97,7 +97,7 @@
     WorkEntry &entry = fixture.entry;
     entry.handle(jobCall(1, Milliseconds(60)), resumedAt);
     entry.handle(MachineResumed{Suspension}, resumedAt);
-    std::vector<CallResponse> responses = responsesOf(entry.flush(resumedAt));
+    std::vector<CallResponse> responses = responsesOf(entry.flush(resumedAt + Milliseconds(1)));
     REQUIRE(responses.size() == 1);
     CHECK(responses[0].status == ResponseStatus::Rejected);
     CHECK(responses[0].closesConnection);
