--- a/request/agent_fences.cpp
+++ b/request/agent_fences.cpp
@@ -5,10 +5,18 @@
 
 namespace marjoramferry {
 
-FenceReport AgentFences::record(const std::string &incarnation, int64_t fence)
+FenceVerdict FenceCheck::check(int64_t fence)
 {
-    if (fence > MaxReportedFence) {
-        return std::exchange(lastRefused_, fence) == fence ? FenceReport::RefusedAgain : FenceReport::Refused;
+    if (fence <= MaxReportedFence) {
+        return FenceVerdict::Plausible;
+    }
+    return std::exchange(lastRefused_, fence) == fence ? FenceVerdict::RefusedAgain : FenceVerdict::Refused;
+}
+
+FenceVerdict AgentFences::record(const std::string &incarnation, int64_t fence)
+{
+    if (const FenceVerdict verdict = check_.check(fence); verdict != FenceVerdict::Plausible) {
+        return verdict;
     }
     if (incarnation == highestIncarnation_) {
         highest_ = std::max(highest_, fence);
@@ -18,7 +26,7 @@
     } else {
         secondHighest_ = std::max(secondHighest_, fence);
     }
-    return FenceReport::Recorded;
+    return FenceVerdict::Plausible;
 }
 
 int64_t AgentFences::highestOfOthers(const std::string &incarnation) const
--- a/request/worker_directory_sessions.cpp
+++ b/request/worker_directory_sessions.cpp
@@ -10,7 +10,7 @@
 /** Records the fence of a message, also if it is outdated otherwise: the calls under that fence may be late as well. */
 void WorkerDirectory::recordFence(WorkerView &view, const wire::AgentBatch &batch)
 {
-    if (view.fences.record(batch.incarnation, batch.fence) == FenceReport::Refused) {
+    if (view.fences.record(batch.incarnation, batch.fence) == FenceVerdict::Refused) {
         out_.log(LogEvent::Level::Warning,
                  "fence_refused",
                  {{"agent", batch.agent}, {"incarnation", batch.incarnation}, {"fence", absl::StrCat(batch.fence)}});
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -101,9 +101,7 @@
     while (!runs_.empty()) {
         finishRun(runs_.begin()->first, wire::RunOutcome::GONE, reason, now);
     }
-    for (const RunRequest &request : std::exchange(queue_, {})) {
-        rejectRun(request, reason);
-    }
+    rejectWaitingRuns(reason);
     startCalls_.clear();
 }
 
@@ -139,12 +137,7 @@
     const auto isAffected = [&](const RunOrderId &orderId) {
         return orderId.entryIncarnation == entryIncarnation && orderId.session < session;
     };
-    for (const RunRequest &request : queue_) {
-        if (isAffected(request.orderId)) {
-            rejectRun(request, "withdrawn");
-        }
-    }
-    std::erase_if(queue_, [&](const RunRequest &request) { return isAffected(request.orderId); });
+    rejectWaitingRuns("withdrawn", [&](const RunRequest &request) { return isAffected(request.orderId); });
     for (auto &[key, run] : runs_) {
         if (isAffected(run.request.orderId) && run.phase != Phase::Stopping) {
             stopRun(run, now);
@@ -161,13 +154,8 @@
     if (!worker_) {
         return;
     }
-    const auto isMisplaced = [&](const RunRequest &request) { return !isPlacedFor(request, worker_->identity); };
-    for (const RunRequest &request : queue_) {
-        if (isMisplaced(request)) {
-            rejectRun(request, "other_worker");
-        }
-    }
-    std::erase_if(queue_, isMisplaced);
+    rejectWaitingRuns("other_worker",
+                      [&](const RunRequest &request) { return !isPlacedFor(request, worker_->identity); });
 }
 
 void WorkerSupervisor::startQueuedRuns(MonotonicTime now)
@@ -361,8 +349,8 @@
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
-        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts && isAnnounced_
-            && isPlacedFor(run.request, worker_->identity) && now < entryLiveness_.validUntil(run.request.orderId)) {
+        if (run.phase == Phase::Starting && run.startsSent < timing_.maxUnansweredStarts && mayStartAgain(run.request)
+            && now < entryLiveness_.validUntil(run.request.orderId)) {
             // The worker treats a repeated StartRun as the same run.
             ++run.startsSent;
             sendStart(run, now);
@@ -399,7 +387,7 @@
         raiseFence(run.fence == fence_ ? fence_ + FenceIncrement : fence_);
     }
     const bool canRetry = (reply.rejection == Rejection::OldAttempt || reply.rejection == Rejection::StaleFence)
-        && isAnnounced_ && isPlacedFor(request, worker_->identity);
+        && mayStartAgain(request);
     if (canRetry && !isStopping && run.retries < MaxStartRetries) {
         const int retries = run.retries + 1;
         RunRequest retried = request;
@@ -682,21 +670,13 @@
 
 void WorkerSupervisor::rejectOverdueRuns(MonotonicTime now)
 {
-    const auto isOverdue = [&](const RunRequest &request) { return now > request.startDeadline; };
-    for (const RunRequest &request : queue_) {
-        if (isOverdue(request)) {
-            rejectRun(request, "no_room");
-        }
-    }
-    std::erase_if(queue_, isOverdue);
+    rejectWaitingRuns("no_room", [&](const RunRequest &request) { return now > request.startDeadline; });
 }
 
 void WorkerSupervisor::beginDrain(MonotonicTime now)
 {
     isDraining_ = true;
-    for (const RunRequest &request : std::exchange(queue_, {})) {
-        rejectRun(request, "agent_leaving");
-    }
+    rejectWaitingRuns("agent_leaving");
     sendPollIfNeeded(now);
 }
 
@@ -728,6 +708,22 @@
     output_.ends.push_back(EndedRun{request.orderId, wire::RunOutcome::NOT_STARTED, reason, 0});
 }
 
+void WorkerSupervisor::rejectWaitingRuns(const std::string &reason,
+                                         const std::function<bool(const RunRequest &)> &isRejected)
+{
+    for (const RunRequest &request : queue_) {
+        if (isRejected(request)) {
+            rejectRun(request, reason);
+        }
+    }
+    std::erase_if(queue_, isRejected);
+}
+
+void WorkerSupervisor::rejectWaitingRuns(const std::string &reason)
+{
+    rejectWaitingRuns(reason, [](const RunRequest &) { return true; });
+}
+
 Demand WorkerSupervisor::claimedDemand() const
 {
     Demand sum;
@@ -737,6 +733,12 @@
     return sum;
 }
 
+/** A start that was sent before may be sent to the process it was placed for, once that has announced itself. */
+bool WorkerSupervisor::mayStartAgain(const RunRequest &request) const
+{
+    return isAnnounced_ && isPlacedFor(request, worker_->identity);
+}
+
 bool WorkerSupervisor::canStartRuns() const
 {
     return worker_ && isAnnounced_ && isReconciled_ && !worker_->leaving && !isDraining_ && !lease_.hasUnansweredCalls()
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "event/log_event.h"
+#include "request/agent_fences.h"
 #include "request/crash_evidence.h"
 #include "request/crash_log.h"
 #include "request/ended_processes.h"
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -187,6 +189,8 @@
     void dropAllRuns(const std::string &reason, MonotonicTime now);
     void reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now);
     void retractCrash(const std::string &evidence);
+    void rejectWaitingRuns(const std::string &reason, const std::function<bool(const RunRequest &)> &isRejected);
+    void rejectWaitingRuns(const std::string &reason);
     void rejectMisplacedRuns();
     void startQueuedRuns(MonotonicTime now);
     void rejectOverdueRuns(MonotonicTime now);
@@ -214,6 +218,7 @@
     void sendPoll(Milliseconds wait, bool extendsLease, MonotonicTime now);
     void finishRun(const RunKey &key, wire::RunOutcome::type outcome, const std::string &reason, MonotonicTime now);
     Demand claimedDemand() const;
+    bool mayStartAgain(const RunRequest &request) const;
     bool canStartRuns() const;
     WorkerTarget target() const;
     void log(LogEvent::Level level, const std::string &event, std::vector<LogField> fields);
@@ -233,7 +238,7 @@
     WorkerLease lease_;
     int64_t fence_;
     int64_t requiredFence_ = 0; ///< Once the worker accepts this fence, no older start can take effect.
-    int64_t lastRefusedFence_ = 0; ///< The last implausible one that was reported.
+    FenceCheck fenceCheck_; ///< Of the fences that entries report.
     int64_t acceptedFence_ = 0; ///< Highest fence the worker is known to have accepted.
     int64_t lastCallId_ = 0;
     int64_t lastCallBeforeWorker_ = 0; ///< Calls up to this one were sent to another worker.
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -1,4 +1,3 @@
-#include "request/agent_fences.h"
 #include "request/worker_supervisor.h"
 
 #include <absl/strings/str_cat.h>
@@ -261,9 +260,7 @@
     }
     log(LogEvent::Level::Info, "worker_left", {{"worker", departure.id}, {"runs", absl::StrCat(runs_.size())}});
     retractCrash("worker_left");
-    for (const RunRequest &request : std::exchange(queue_, {})) {
-        rejectRun(request, "worker_left");
-    }
+    rejectWaitingRuns("worker_left");
     worker_->leaving = true;
     hasDeparted_ = true;
     if (runs_.empty()) {
@@ -276,10 +273,11 @@
     if (fence <= 0 || fence < fence_) {
         return;
     }
-    if (fence > MaxReportedFence) {
-        if (std::exchange(lastRefusedFence_, fence) != fence) {
-            log(LogEvent::Level::Warning, "fence_refused", {{"fence", absl::StrCat(fence)}});
-        }
+    const FenceVerdict verdict = fenceCheck_.check(fence);
+    if (verdict == FenceVerdict::Refused) {
+        log(LogEvent::Level::Warning, "fence_refused", {{"fence", absl::StrCat(fence)}});
+    }
+    if (verdict != FenceVerdict::Plausible) {
         return;
     }
     log(LogEvent::Level::Warning,
--- a/tests/promises/deployment_troubles_test.cpp
+++ b/tests/promises/deployment_troubles_test.cpp
@@ -80,8 +80,7 @@
     return static_cast<double>(simulation.completeCalls()) / Jobs;
 }
 
-/** When callers leave and an agent freezes, in a play in which their entry dies before it learns that they have left.
- */
+/** When callers leave and agents freeze, in a play in which the entry dies before it learns that they have left. */
 struct LateEnd
 {
     Milliseconds phase{0}; ///< Of the renewals of leases, when the callers leave.
--- a/tests/request/work_agent_orders_test.cpp
+++ b/tests/request/work_agent_orders_test.cpp
@@ -27,16 +27,8 @@
 {
     ConnectedAgent fixture;
     fixture.orderAge = Milliseconds(710);
-    wire::RunInstruction instruction;
-    wire::RunOrder order;
-    order.runNumber = 1;
-    order.jobId = "late";
-    order.attempt = 1;
-    order.demand.cpuMillis = 1000;
-    order.patienceMs = 250;
-    instruction.__set_order(order);
     const MonotonicTime now = Start + Milliseconds(900);
-    fixture.deliverBatch(0, {instruction}, now);
+    fixture.deliverBatch(0, {instructionFor(runOrder(1, "late"))}, now);
     const auto sent = fixture.flushMessages(now);
     CHECK(fixture.starts.empty());
     REQUIRE(sent.contains(0));
@@ -49,20 +41,13 @@
     // Guards against two runs of one task: a connection breaks before the order arrives, the caller leaves and has the
     // job run by another entry, and the next connection brings both instructions with a new proof of life.
     ConnectedAgent fixture;
-    wire::RunInstruction ordered;
-    wire::RunOrder order;
-    order.runNumber = 1;
-    order.jobId = "abandoned";
-    order.attempt = 1;
-    order.demand.cpuMillis = 1000;
-    order.patienceMs = 250;
-    ordered.__set_order(order);
+    const wire::RunOrder order = runOrder(1, "abandoned");
     wire::RunInstruction withdrawn;
     wire::RunWithdrawal withdrawal;
     withdrawal.runNumber = order.runNumber;
     withdrawn.__set_withdrawal(withdrawal);
     const MonotonicTime now = Start + Milliseconds(20);
-    fixture.deliverBatch(0, {ordered, withdrawn}, now);
+    fixture.deliverBatch(0, {instructionFor(order), withdrawn}, now);
     const auto sent = fixture.flushMessages(now);
     CHECK(fixture.starts.empty());
     REQUIRE(sent.contains(0));
@@ -75,17 +60,10 @@
 TEST_CASE("An order that names a former worker of the agent is returned")
 {
     ConnectedAgent fixture;
-    wire::RunInstruction instruction;
-    wire::RunOrder order;
-    order.runNumber = 1;
-    order.jobId = "placed-before";
-    order.attempt = 1;
-    order.demand.cpuMillis = 1000;
-    order.patienceMs = 250;
+    wire::RunOrder order = runOrder(1, "placed-before");
     order.worker = GENERATE("worker", "former");
     order.workerBornMs = order.worker == "former" ? 7 : 6;
-    instruction.__set_order(order);
-    fixture.deliverBatch(0, {instruction}, Start + Milliseconds(20));
+    fixture.deliverBatch(0, {instructionFor(order)}, Start + Milliseconds(20));
     const auto sent = fixture.flushMessages(Start + Milliseconds(20));
     CHECK(fixture.starts.empty());
     REQUIRE(sent.contains(0));
@@ -99,22 +77,17 @@
 TEST_CASE("An agent that hears of an earlier fence reports no cleared worker before that one has accepted a higher one")
 {
     ConnectedAgent fixture;
-    wire::EntryBatch batch;
-    batch.entry = "entry-0";
-    batch.incarnation = "entry-0-1";
-    batch.session = 2;
-    batch.agentIncarnation = "agent-1";
-    batch.echoedUs = std::chrono::duration_cast<Microseconds>((Start + Milliseconds(20)).time_since_epoch()).count();
-    batch.fence = 5000;
+    fixture.session = 2;
+    fixture.earlierFence = 5000;
     const auto reportAt = [&](MonotonicTime now) {
         fixture.agent.handle(Tick{}, now);
         return fixture.flushMessages(now).at(0);
     };
-    fixture.agent.handle(PeerMessage{addressOf(0), batch}, Start + Milliseconds(20));
+    fixture.deliverBatch(0, {}, Start + Milliseconds(20));
     const wire::AgentBatch before = reportAt(Start + Milliseconds(200));
     CHECK_FALSE(before.cleared);
     CHECK_FALSE(before.room.takesRuns);
-    CHECK(before.fence > batch.fence);
+    CHECK(before.fence > fixture.earlierFence);
     CHECK(fixture.polls.back().fence == before.fence);
     fixture.agent.handle(fixture.listed({}, {}), Start + Milliseconds(201));
     const wire::AgentBatch after = reportAt(Start + Milliseconds(400));
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -86,6 +86,15 @@
         return batch;
     }
 
+    /** The first message of the agent's next incarnation. */
+    wire::AgentBatch restartedBatchOf(const std::string &agent) const
+    {
+        wire::AgentBatch batch = batchOf(agent, 1);
+        batch.incarnation = agent + "-2";
+        batch.session = 0;
+        return batch;
+    }
+
     /** The messages sent now, by agent. */
     std::map<std::string, wire::EntryBatch> sendBatches(MonotonicTime now)
     {
@@ -184,9 +193,7 @@
 {
     TwoAgents fixture;
     fixture.orderRunOnOther(Start);
-    wire::AgentBatch restarted = fixture.batchOf(fixture.other, 1);
-    restarted.incarnation = fixture.other + "-2";
-    restarted.session = 0;
+    wire::AgentBatch restarted = fixture.restartedBatchOf(fixture.other);
     restarted.cleared = false;
     fixture.directory.handleLinkClosed(fixture.other[0]);
     fixture.directory.handleBatch(fixture.other[0], restarted, Start + Milliseconds(100));
@@ -209,9 +216,7 @@
 {
     TwoAgents fixture;
     fixture.orderRunOnOther(Start);
-    wire::AgentBatch restarted = fixture.batchOf(fixture.other, 1);
-    restarted.incarnation = fixture.other + "-2";
-    restarted.session = 0;
+    wire::AgentBatch restarted = fixture.restartedBatchOf(fixture.other);
     restarted.worker.worker = "successor";
     const LinkId link = fixture.other[0];
     const auto connect = [&](MonotonicTime now) {
@@ -239,9 +244,7 @@
 {
     TwoAgents fixture;
     fixture.orderRunOnOther(Start);
-    wire::AgentBatch restarted = fixture.batchOf(fixture.other, 1);
-    restarted.incarnation = fixture.other + "-2";
-    restarted.session = 0;
+    wire::AgentBatch restarted = fixture.restartedBatchOf(fixture.other);
     restarted.cleared = false;
     restarted.worker = wire::WorkerState();
     restarted.room.takesRuns = false;
--- a/tests/request/worker_supervisor_orders_test.cpp
+++ b/tests/request/worker_supervisor_orders_test.cpp
@@ -89,9 +89,7 @@
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
     const WorkerReply answer = GENERATE(unanswered(0), rejected(0, Rejection::StaleFence));
-    supervisor.requestRun(requestFor({"worker-1", 7}, 1), Start);
-    const OutputByKind sent(supervisor.takeOutput());
-    REQUIRE(sent.starts.size() == 1);
+    const OutputByKind sent = fixture.start(requestFor({"worker-1", 7}, 1), Start);
     REQUIRE_FALSE(sent.polls.empty());
     supervisor.handleReply(listed(sent.polls.back().callId, {}, {}, 8), Start + Milliseconds(10));
     OutputByKind restarted(supervisor.takeOutput());
--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -23,9 +23,7 @@
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
-    supervisor.requestRun(runRequest("a", 1), Start);
-    const OutputByKind before(supervisor.takeOutput());
-    REQUIRE(before.starts.size() == 1);
+    const OutputByKind before = fixture.start(runRequest("a", 1), Start);
 
     const MonotonicTime restarted = Start + Milliseconds(30);
     supervisor.handleAnnouncement(announcement(1, 8), restarted);
@@ -92,9 +90,7 @@
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
     const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
-    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(5));
-    const OutputByKind sent(supervisor.takeOutput());
-    REQUIRE(sent.starts.size() == 1);
+    const OutputByKind sent = fixture.start(runRequest("after", 2, 4000), Start + Milliseconds(5));
     supervisor.handleReply(listed(poll.callId, {}, {}, 8), Start + Milliseconds(10));
     supervisor.takeOutput();
     const int64_t callId = sent.starts[0].callId;
@@ -113,10 +109,8 @@
     const PollRuns before = fixture.startAndConfirm(runRequest("before", 1), Start);
     WorkerAnnouncement next = announcement(1, 8);
     next.labels = {"b"};
-    supervisor.handleAnnouncement(next, Start + Milliseconds(10));
-    const OutputByKind asked(supervisor.takeOutput());
-    REQUIRE(asked.polls.size() == 1);
-    const int64_t callId = GENERATE_COPY(before.callId, asked.polls[0].callId);
+    const PollRuns asked = fixture.announce(next, Start + Milliseconds(10));
+    const int64_t callId = GENERATE_COPY(before.callId, asked.callId);
     supervisor.handleReply(listed(callId, {}, {}, 8), Start + Milliseconds(11));
     const OutputByKind fenced(supervisor.takeOutput());
     REQUIRE_FALSE(fenced.polls.empty());
@@ -132,11 +126,9 @@
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
-    supervisor.handleAnnouncement(announcement(1, 6), Start + Milliseconds(10));
-    const OutputByKind asked(supervisor.takeOutput());
-    REQUIRE(asked.polls.size() == 1);
-    CHECK(asked.polls[0].fence > FirstFence);
-    supervisor.handleReply(listed(asked.polls[0].callId, {}, {}, 6), Start + Milliseconds(11));
+    const PollRuns asked = fixture.announce(announcement(1, 6), Start + Milliseconds(10));
+    CHECK(asked.fence > FirstFence);
+    supervisor.handleReply(listed(asked.callId, {}, {}, 6), Start + Milliseconds(11));
     const OutputByKind fenced(supervisor.takeOutput());
     REQUIRE_FALSE(fenced.polls.empty());
     supervisor.handleReply(listed(fenced.polls.back().callId, {}, {}, 6), Start + Milliseconds(12));
@@ -212,10 +204,8 @@
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
-    supervisor.handleAnnouncement(announcement(1, 6), Start + Milliseconds(10));
-    const OutputByKind asked(supervisor.takeOutput());
-    REQUIRE(asked.polls.size() == 1);
-    supervisor.handleReply(listed(asked.polls[0].callId, {}, {}, 6), Start + Milliseconds(11));
+    const PollRuns asked = fixture.announce(announcement(1, 6), Start + Milliseconds(10));
+    supervisor.handleReply(listed(asked.callId, {}, {}, 6), Start + Milliseconds(11));
     supervisor.takeOutput();
     REQUIRE(supervisor.state().bornMs == 6);
 
@@ -235,10 +225,8 @@
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
     const PollRuns pending = fixture.startAndConfirm(runRequest("a", 1), Start);
-    supervisor.handleAnnouncement(announcement(1, 8), Start + Milliseconds(10));
-    const OutputByKind asked(supervisor.takeOutput());
-    REQUIRE(asked.polls.size() == 1);
-    supervisor.handleReply(listed(asked.polls[0].callId, {{"a", 0, 0, 1}}), Start + Milliseconds(11));
+    const PollRuns asked = fixture.announce(announcement(1, 8), Start + Milliseconds(10));
+    supervisor.handleReply(listed(asked.callId, {{"a", 0, 0, 1}}), Start + Milliseconds(11));
     supervisor.handleReply(listed(pending.callId, {{"a", 0, 0, 1}}), Start + Milliseconds(12));
     const OutputByKind next(supervisor.takeOutput());
     REQUIRE_FALSE(next.polls.empty());
@@ -255,9 +243,7 @@
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
     fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
-    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(50));
-    OutputByKind output(supervisor.takeOutput());
-    REQUIRE(output.starts.size() == 1);
+    OutputByKind output = fixture.start(runRequest("after", 2, 4000), Start + Milliseconds(50));
     supervisor.handleReply(accepted(output.starts[0].callId), Start + Milliseconds(51));
     int64_t sequence = 0;
     for (MonotonicTime now = Start + Milliseconds(60); now < Start + Milliseconds(6000); now += Milliseconds(20)) {
@@ -372,9 +358,7 @@
     next.identity.id = "worker-2";
     supervisor.handleAnnouncement(next, Start + Milliseconds(10));
     supervisor.takeOutput();
-    supervisor.requestRun(runRequest("b", 2, 4000), Start + Milliseconds(11));
-    const OutputByKind started(supervisor.takeOutput());
-    REQUIRE(started.starts.size() == 1);
+    const OutputByKind started = fixture.start(runRequest("b", 2, 4000), Start + Milliseconds(11));
     supervisor.withdrawRun({"entry-1", 1, 1}, Start + Milliseconds(12));
     const OutputByKind stopping(supervisor.takeOutput());
     REQUIRE(stopping.stops.size() == 1);
@@ -385,9 +369,7 @@
     REQUIRE_FALSE(adopted.polls.empty());
     supervisor.handleReply(listed(adopted.polls.back().callId, {}, {}, 8), Start + Milliseconds(16));
     supervisor.takeOutput();
-    supervisor.requestRun(runRequest("c", 3, 4000), Start + Milliseconds(17));
-    const OutputByKind onSuccessor(supervisor.takeOutput());
-    REQUIRE(onSuccessor.starts.size() == 1);
+    const OutputByKind onSuccessor = fixture.start(runRequest("c", 3, 4000), Start + Milliseconds(17));
     CHECK(onSuccessor.starts[0].target.id == "worker-2");
     supervisor.handleReply(accepted(onSuccessor.starts[0].callId), Start + Milliseconds(18));
     supervisor.takeOutput();
--- a/tests/request/worker_supervisor_test.cpp
+++ b/tests/request/worker_supervisor_test.cpp
@@ -196,9 +196,7 @@
     WorkerSupervisor &supervisor = fixture.supervisor;
     const PollRuns poll = fixture.startAndConfirm(runRequest("before", 1, 4000), Start);
     // The worker restarts here under the same name; the next StartRun reaches the new process.
-    supervisor.requestRun(runRequest("after", 2, 4000), Start + Milliseconds(50));
-    const OutputByKind output(supervisor.takeOutput());
-    REQUIRE(output.starts.size() == 1);
+    const OutputByKind output = fixture.start(runRequest("after", 2, 4000), Start + Milliseconds(50));
     supervisor.handleReply(accepted(output.starts[0].callId), Start + Milliseconds(51));
     supervisor.takeOutput();
 
@@ -228,9 +226,7 @@
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
-    supervisor.requestRun(runRequest("a", 1), Start);
-    const OutputByKind first(supervisor.takeOutput());
-    REQUIRE(first.starts.size() == 1);
+    const OutputByKind first = fixture.start(runRequest("a", 1), Start);
     supervisor.handleAnnouncement(announcement(1, 8), Start + Milliseconds(5));
     const OutputByKind second(supervisor.takeOutput());
     CHECK(second.ends.empty());
--- a/tests/support/connected_agent.h
+++ b/tests/support/connected_agent.h
@@ -22,6 +22,25 @@
     return absl::StrCat("10.0.0.", entry + 1, ":7000");
 }
 
+/** An order of a run of the first task of a job. */
+inline wire::RunOrder runOrder(int64_t runNumber, const std::string &jobId, int cpuMillis = 1000)
+{
+    wire::RunOrder order;
+    order.runNumber = runNumber;
+    order.jobId = jobId;
+    order.attempt = 1;
+    order.demand.cpuMillis = cpuMillis;
+    order.patienceMs = 250;
+    return order;
+}
+
+inline wire::RunInstruction instructionFor(const wire::RunOrder &order)
+{
+    wire::RunInstruction instruction;
+    instruction.__set_order(order);
+    return instruction;
+}
+
 /** An agent with a worker, connected to nine entries. */
 struct ConnectedAgent
 {
@@ -37,6 +56,7 @@
     Milliseconds orderAge{0}; ///< Time that the messages of the entries were under way.
     int64_t lastOrderNumber = 0;
     int64_t session = 1; ///< Of the next messages of the entries.
+    int64_t earlierFence = 0; ///< That the next messages of the entries report.
 
     explicit ConnectedAgent(bool offers = false)
         : agent(options(offers))
@@ -87,6 +107,7 @@
         batch.incarnation = absl::StrCat("entry-", entry, "-1");
         batch.session = session;
         batch.agentIncarnation = "agent-1";
+        batch.fence = earlierFence;
         batch.echoedUs = std::chrono::duration_cast<Microseconds>((now - orderAge).time_since_epoch()).count();
         batch.firstSequence = lastOrderNumber + 1;
         batch.instructions = instructions;
@@ -106,15 +127,8 @@
     /** Delivers an entry's order of a run, and sends its start. */
     void orderRun(int entry, int cpuMillis, MonotonicTime now)
     {
-        wire::RunInstruction instruction;
-        wire::RunOrder order;
-        order.runNumber = lastOrderNumber + 1;
-        order.jobId = absl::StrCat("job-", order.runNumber);
-        order.attempt = 1;
-        order.demand.cpuMillis = cpuMillis;
-        order.patienceMs = 250;
-        instruction.__set_order(order);
-        deliverBatch(entry, {instruction}, now);
+        const int64_t runNumber = lastOrderNumber + 1;
+        deliverBatch(entry, {instructionFor(runOrder(runNumber, absl::StrCat("job-", runNumber), cpuMillis))}, now);
         sentWithOrder = flushMessages(now);
     }
 
--- a/tests/support/supervisor_fixture.h
+++ b/tests/support/supervisor_fixture.h
@@ -134,9 +134,7 @@
     /** Starts a run at Start, and leaves the first copy of the start unanswered until @p timeoutAt. */
     RepeatedStart startTwice(const RunRequest &request, MonotonicTime timeoutAt)
     {
-        supervisor.requestRun(request, Start);
-        OutputByKind first(supervisor.takeOutput());
-        REQUIRE(first.starts.size() == 1);
+        OutputByKind first = start(request, Start);
         supervisor.handleReply(unanswered(first.starts[0].callId), timeoutAt);
         OutputByKind second(supervisor.takeOutput());
         REQUIRE(second.starts.size() == 1);
@@ -168,12 +166,28 @@
         return std::nullopt;
     }
 
-    /** Starts and confirms a run. Returns a poll that was sent after the confirmation. */
-    PollRuns startAndConfirm(const RunRequest &request, MonotonicTime now)
+    /** Announces another process. Returns the poll that asks the known one whether it is still there. */
+    PollRuns announce(const WorkerAnnouncement &process, MonotonicTime now)
+    {
+        supervisor.handleAnnouncement(process, now);
+        const OutputByKind asked(supervisor.takeOutput());
+        REQUIRE(asked.polls.size() == 1);
+        return asked.polls[0];
+    }
+
+    /** Requests a run that is started at once. */
+    OutputByKind start(const RunRequest &request, MonotonicTime now)
     {
         supervisor.requestRun(request, now);
-        const OutputByKind output(supervisor.takeOutput());
+        OutputByKind output(supervisor.takeOutput());
         REQUIRE(output.starts.size() == 1);
+        return output;
+    }
+
+    /** Starts and confirms a run. Returns a poll that was sent after the confirmation. */
+    PollRuns startAndConfirm(const RunRequest &request, MonotonicTime now)
+    {
+        const OutputByKind output = start(request, now);
         supervisor.handleReply(accepted(output.starts[0].callId), now);
         const OutputByKind confirmed(supervisor.takeOutput());
         const PollRuns first = output.polls.empty() ? confirmed.polls.at(0) : output.polls.at(0);
--- a/tests/support/work_simulation.cpp
+++ b/tests/support/work_simulation.cpp
@@ -212,7 +212,7 @@
     }
     Connection &connection = connections_.at(link);
     const MonotonicTime arrival = std::max(connection.lastArrivalAtEntry, arrivalTime(entry, agent, false));
-    connection.lastArrivalAtEntry = arrivalAt(entries_.at(static_cast<size_t>(entry)), arrival);
+    connection.lastArrivalAtEntry = retransmittedArrival(entries_.at(static_cast<size_t>(entry)), arrival);
     actions_[{connection.lastArrivalAtEntry, ++lastActionId_}]
         = [this, id = link, message = std::move(message)]() mutable {
               const Connection &conn = connections_.at(id);
@@ -232,7 +232,7 @@
     const auto &node = agents_.at(static_cast<size_t>(connection.agent));
     const MonotonicTime arrival
         = std::max(connection.lastArrivalAtAgent, arrivalTime(connection.entry, connection.agent, true));
-    connection.lastArrivalAtAgent = arrivalAt(node, arrival);
+    connection.lastArrivalAtAgent = retransmittedArrival(node, arrival);
     const int64_t generation = node.generation;
     actions_[{connection.lastArrivalAtAgent, ++lastActionId_}]
         = [this, link, generation, message = std::move(message)]() mutable {
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -304,9 +304,9 @@
     bool isWaiting(uint64_t token) const;
     int capacityOf(int agent) const;
     MonotonicTime arrivalTime(int entry, int agent, bool isToAgent) const;
-    /** When something arrives that reaches the machine at @p arrival, or, if it is suspended, with a retransmission. */
+    /** @p arrival, or, if the machine is suspended then, the time of a retransmission after that. */
     template<typename NodeType>
-    MonotonicTime arrivalAt(const NodeType &node, MonotonicTime arrival)
+    MonotonicTime retransmittedArrival(const NodeType &node, MonotonicTime arrival)
     {
         if (!node.isSuspended || arrival >= node.frozenUntil) {
             return arrival;
--- a/tests/support/work_simulation_callers.cpp
+++ b/tests/support/work_simulation_callers.cpp
@@ -51,7 +51,7 @@
         return;
     }
     if (node.isSuspended) {
-        actions_[{arrivalAt(node, now_), ++lastActionId_}]
+        actions_[{retransmittedArrival(node, now_), ++lastActionId_}]
             = [this, call, entry = submission.entry, generation = node.generation] {
                   deliverToEntry(entry, generation, call);
               };
@@ -113,7 +113,7 @@
         return delay;
     }
     if (options_.maxCallerEndDelay == Milliseconds(0)) {
-        return options_.maxCallerEndDelay;
+        return Milliseconds(0);
     }
     std::uniform_int_distribution<int64_t> delay(options_.minCallerEndDelay.count(),
                                                  options_.maxCallerEndDelay.count());
--- a/tests/support/work_simulation_workers.cpp
+++ b/tests/support/work_simulation_workers.cpp
@@ -96,9 +96,10 @@
         reply = noReply;
     }
     if (node.isSuspended) {
-        actions_[{arrivalAt(node, now_), ++lastActionId_}] = [this, pending, reply = std::move(reply)]() mutable {
-            deliverToAgent(pending.agent, pending.generation, std::move(reply));
-        };
+        actions_[{retransmittedArrival(node, now_), ++lastActionId_}]
+            = [this, pending, reply = std::move(reply)]() mutable {
+                  deliverToAgent(pending.agent, pending.generation, std::move(reply));
+              };
         return;
     }
     deliverToAgent(pending.agent, pending.generation, std::move(reply));
