--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import tomllib
 
@@ -167,7 +168,7 @@
             return 2
         try:
             await deployment.start()
-            broken = await asyncio.wait_for(case(deployment), 80)
+            broken = await asyncio.wait_for(case(deployment), 70)
         except (asyncio.TimeoutError, OSError) as error:
             deployment.record.add("could not run:", repr(error))
             return 2
@@ -177,4 +178,5 @@
             deployment.record.add("BROKEN", each)
         deployment.record.add("result:", "broken" if broken else "held")
         return 1 if broken else 0
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Ends the processes on the way out.
     return asyncio.run(body())
