--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A cancelled job arrives once more, seconds after the 2xx response for its ID, and is started again."""
+"""Runners are unhealthy for about a second, one after the other; their agents never use them again."""
 import asyncio
 import os
 import sys
@@ -7,29 +7,43 @@
 from deployment import has_trouble, new_job_id, run_case
 from platform_standins import job
 
-CANCEL_MS = 3000
+UNHEALTHY_S = 0.8
+ROUNDS = 2
+CONTACT_S = 3.0
+WIDTH = 32  # The largest width of a job in the site file.
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 
 
+async def send_jobs(deployment, count, width):
+    body = job("60", counts=(width,), estimate_ms=60)
+    answers = await asyncio.gather(*(deployment.send(deployment.entries[index % 3], "POST", new_job_id(), body)
+                                     for index in range(count)))
+    return sum(1 for answer in answers if answer and answer[0] == 200)
+
+
 async def case(deployment):
-    record, entry = deployment.record, deployment.entries[0]
-    job_id = new_job_id()
-    body = job("1200", counts=(4,), estimate_ms=1200)
-    submission = asyncio.create_task(deployment.send(entry, "POST", job_id, body))
-    await asyncio.sleep(0.4)
-    answer = await deployment.send(entry, "DELETE", job_id)
-    acknowledged_at = record.now()
-    if answer is None or answer[0] // 100 != 2:
-        raise OSError("the cancel was not acknowledged with 2xx")
-    await submission
-    await asyncio.sleep(CANCEL_MS / 1000 + 1.0)
-    if has_trouble():
-        # The same request again, "seconds after the 2xx response for that ID".
-        await deployment.send(entry, "POST", job_id, body)
-    await asyncio.sleep(2.0)
-    late = [(worker, run) for worker, run in deployment.runs(job_id) if run.started > acknowledged_at + CANCEL_MS / 1000]
-    return [f"UNASKED: {worker.name} started {run.task} run {run.number} {run.started - acknowledged_at:.3f} s after the "
-            "acknowledgement of the cancel" for worker, run in late]
+    record = deployment.record
+    for runner in deployment.workers * ROUNDS:
+        if has_trouble():
+            record.add("unhealthy:", runner.name)
+            runner.is_healthy = False
+        end = record.now() + UNHEALTHY_S
+        # Enough work at once that every runner gets some.
+        served = await send_jobs(deployment, 5, WIDTH)
+        await asyncio.sleep(max(0, end - record.now()))
+        if has_trouble():
+            record.add("healthy again:", runner.name, f"refused calls: {runner.refused_calls}", f"jobs served: {served} of 5")
+            runner.is_healthy = True
+        await asyncio.sleep(0.6)
+    await asyncio.sleep(CONTACT_S)
+    served, sent = 0, 0
+    for _ in range(10):
+        sent += 3
+        served += await send_jobs(deployment, 3, 2)
+        await asyncio.sleep(0.5)
+    record.add(f"{served} of {sent} jobs served, with all {len(deployment.workers)} runners healthy and idle")
+    record.add("ready:", [await deployment.is_ready(name) for name in deployment.entries])
+    return [] if served else [f"Fault: no request is served any more (0 of {sent} jobs over 5 s and more)"]
 
 
 if __name__ == "__main__":
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -45,7 +45,7 @@
 class Deployment:
     """@p entries and @p workers machines; machine k has the address 127.A.B.k."""
 
-    def __init__(self, case_folder, entries=2, workers=2):
+    def __init__(self, case_folder, entries=3, workers=11):
         self.root = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
         with open(f"{self.root}/deploy/system.toml", "rb") as file:
             self.roles = tomllib.load(file)["roles"]
--- a/review/common-2/platform_standins.py
+++ b/review/common-2/platform_standins.py
@@ -53,9 +53,17 @@
     """Serves HTTP at one address. handle(method, path, query, headers, body) returns (status, body) or None: no answer."""
 
     async def listen(self, ip, port):
+        self.connections = set()
         self.server = await asyncio.start_server(self.serve, ip, port)
 
+    def end_connections(self):
+        """Ends as a process does that is killed: its port refuses connections, the open ones are reset."""
+        self.server.close()
+        for writer in self.connections:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while message := await read_message(reader):
                 first_line, headers, body = message
@@ -70,6 +78,7 @@
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
 
@@ -156,17 +165,20 @@
 
     def __init__(self, record, name, service, zone, address, agent, cpu=32000):
         self.record, self.name, self.service, self.zone, self.address = record, name, service, zone, address
-        self.agent, self.cpu = agent, cpu
+        self.agent, self.cpu, self.labels = agent, cpu, ["a", "r1-3"]
+        self.history = []
+        self.refused_calls = 0  # While it was unhealthy.
+        self.acknowledged_states = []  # (state, time of the acknowledgement)
+        self.ended = asyncio.Condition()
+        self.begin_process()
+
+    def begin_process(self):
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
-        self.fence, self.lease_ms, self.observed, self.sequence = 0, 0, 0, 0
+        self.fence, self.lease_ms, self.sequence, self.end_count = 0, 0, 0, 0
         self.running, self.highest, self.ends = {}, {}, []  # By task.
-        self.history = []
-        self.end_count = 0
         self.state = "ready"
-        self.acknowledged_states = []  # (state, time of the acknowledgement)
-        self.is_up = True
-        self.ended = asyncio.Condition()
+        self.is_healthy = True
         self.tasks = []
 
     def clock_ms(self):
@@ -177,11 +189,25 @@
         await self.listen(ip, int(port))
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.advance())]
 
+    def crash(self):
+        for task in self.tasks:
+            task.cancel()
+        self.end_connections()
+        for run in self.running.values():
+            run.ended, run.how = self.record.now(), "crashed"
+        self.record.add("runner crashed", self.name, f"runs={len(self.running)}")
+
+    async def start_again(self):
+        """Starts the next process, under the same id. It listens, and then sends its first heartbeat at once."""
+        self.begin_process()
+        self.record.add("runner starts again", self.name, f"labels={self.labels}", f"cpu={self.cpu}")
+        await self.start()
+
     def report(self):
         self.sequence += 1
         return {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 8,
                 "state": self.state, "cold-left-ms": 0, "born": self.born,
-                "capacity": {"cpu": self.cpu, "mem-mb": 131072, "gpu": 0}, "labels": ["a", "r1-3"],
+                "capacity": {"cpu": self.cpu, "mem-mb": 131072, "gpu": 0}, "labels": self.labels,
                 "clock-ms": self.clock_ms(), "seq": self.sequence}
 
     async def send_report(self, report):
@@ -222,6 +248,9 @@
         return 409, {"clock-ms": self.clock_ms(), "reason": reason}
 
     async def handle(self, method, path, arguments, headers, body):
+        if not self.is_healthy:
+            self.refused_calls += 1
+            return 503, {}  # Nothing was done.
         if headers.get("expect-instance", self.name) != self.name:
             return 421, {}
         if body.get("fence", 0) < self.fence:
@@ -250,10 +279,12 @@
         step = int(task.split(".")[2])
         duration = durations[min(step, len(durations) - 1)]
         run = Run(task, number, self.record.now(), time.monotonic() + duration / 1000)
+        run.labels = self.labels
         self.highest[task] = number
         self.running[task] = run
         self.history.append(run)
-        self.record.add("run started", self.name, task, f"run={number}", f"fence={self.fence}", f"state={self.state}")
+        self.record.add("run started", self.name, task, f"run={number}", f"fence={self.fence}", f"state={self.state}",
+                        f"labels={','.join(self.labels)}")
         return 200, {"clock-ms": self.clock_ms()}
 
     def on_stop(self, body):
@@ -301,10 +332,11 @@
         return None
 
 
-def job(spec, counts=(1,), cpu=3100, estimate_ms=200, after=True):
+def job(spec, counts=(1,), cpu=3100, estimate_ms=200, constraint=""):
     """A best-effort job with a step for each count; each step waits for the one before."""
     phases = []
     for index, count in enumerate(counts):
         phase = {"count": count, "cpu": cpu, "mem-mb": 64, "estimate-ms": estimate_ms}
-        phases.append(phase | ({"after": [index - 1]} if index and after else {}))
+        phase |= {"constraints": constraint} if constraint else {}
+        phases.append(phase | ({"after": [index - 1]} if index else {}))
     return {"spec": spec, "best-effort": True, "phases": phases}
