--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -45,7 +45,10 @@
 async def serve(address, handle):
     """Serves HTTP/1.1; handle(method, path, query, headers, body) returns (status, object), or None for no answer."""
 
+    connections = set()
+
     async def on_connection(reader, writer):
+        connections.add(writer)
         try:
             while (message := await read_message(reader)) is not None:
                 method, target, _ = message[0].split(" ", 2)
@@ -60,10 +63,13 @@
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            connections.discard(writer)
             writer.close()
 
     host, port = address.rsplit(":", 1)
-    return await asyncio.start_server(on_connection, host, int(port))
+    server = await asyncio.start_server(on_connection, host, int(port))
+    server.connections = connections
+    return server
 
 
 def parse_query(text):
@@ -180,19 +186,39 @@
         self.record, self.name, self.service, self.zone = record, name, service, zone
         self.address, self.agent, self.cpu, self.labels = address, agent, cpu, labels
         self.on_start, self.on_end = on_start, on_end
+        self.changed = asyncio.Condition()
+        self.begin_life()
+
+    def begin_life(self):
+        """After a start, the runner holds and knows nothing of before, and its counts and its clock start anew."""
         self.state, self.seq = "ready", 0
         self.born, self.started = int(time.time() * 1000), time.monotonic()
         self.fence, self.lease_end, self.active, self.ends = 0, 0, {}, []
         self.last_end, self.last_run = 0, {}
-        self.changed = asyncio.Condition()
 
     def clock(self):
         return int((time.monotonic() - self.started) * 1000)
 
     async def start(self):
-        self.server = await serve(self.address, self.handle)
+        self.server = await serve(self.address, lambda *request: self.handle(*request))  # A case may replace it.
         self.tasks = [asyncio.create_task(self.advance()), asyncio.create_task(self.announce())]
 
+    async def crash(self, down_s):
+        """Crashes, and starts again under the same id after a while."""
+        self.record.line(f"sys  {self.name} crashes")
+        self.server.close()
+        for writer in list(self.server.connections):
+            writer.transport.abort()
+        for each in self.tasks:
+            each.cancel()
+        for run in list(self.active.values()):
+            self.on_end(self, run.task, run.run, "lost with its runner")
+        self.active = {}
+        await asyncio.sleep(down_s)
+        self.begin_life()
+        await self.start()
+        self.record.line(f"sys  {self.name} starts again under its id")
+
     def heartbeat(self):
         self.seq += 1
         return {"service": self.service, "addr": self.address, "zone": self.zone, "version": "v1", "slots": 8,
