--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,34 +1,53 @@
-"""A request that hands a job in arrives again, seconds after the job was cancelled and its POST was answered."""
+"""Another writer's heartbeats, with fields missing, name runners of one service as runners of another one."""
 import asyncio
 import os
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common-3"))
-from deployment import CANCEL_S, play  # noqa: E402
+from deployment import play  # noqa: E402
+from standins import call  # noqa: E402
 
-JOB = "7d41b2e90c35fa68"
-BODY = {"spec": "900/2000", "best-effort": True,
-        "phases": [{"count": 4, "cpu": 2000, "mem-mb": 64, "estimate-ms": 900}]}
-DEADLINE_S = 5
-LATE_S = 1.5  # After cancel_ms.
+SERVICES = ("orders", "quotes")
+BODY = {"spec": "200/6200", "best-effort": True,
+        "phases": [{"count": 2, "cpu": 6200, "mem-mb": 64, "estimate-ms": 200}]}
+DEADLINE_S = 1.5
+MISSING = ("slots", "labels", "cold-left-ms", "clock-ms")  # In the heartbeats of the other writer.
+JOBS_PER_S, JOBS_S = 40, 8
+OTHER_BEAT_S, OTHER_BEATS_S = 0.5, 4
+
+
+async def send_other_beats(deployment, runner):
+    number = 1000
+    while deployment.record.now() < OTHER_BEATS_S:
+        number += 1
+        beat = {key: value for key, value in runner.heartbeat().items() if key not in MISSING}
+        answer = await call(runner.agent, "PUT", f"/api/instances/{runner.name}",
+                            {**beat, "service": "quotes", "seq": number}, timeout=1.0)
+        deployment.record.line(f"beat of another writer: {runner.name} is one of quotes, with fields missing: {answer}")
+        await asyncio.sleep(OTHER_BEAT_S)
+
+
+def prepare(deployment, has_trouble):
+    def start_other_writer():
+        deployment.others = [asyncio.create_task(send_other_beats(deployment, runner))
+                             for runner in deployment.runners if runner.service == "orders"]
+
+    deployment.at_start = start_other_writer if has_trouble else None
 
 
 async def case(deployment, has_trouble):
-    daemon = deployment.edges[0]  # By the hash of the client.
-    post = asyncio.create_task(deployment.submit(daemon, JOB, BODY, DEADLINE_S))
-    await asyncio.sleep(0.3)
-    answer = await deployment.cancel(daemon, JOB)
-    cancelled_at = deployment.record.now()
-    first = await post
-    if answer is None or answer[0] != 200 or first is None or first[0] != 200:
-        raise RuntimeError(f"the cancel was not acknowledged: {answer}, {first}")
-    await asyncio.sleep(CANCEL_S + LATE_S)
-    if has_trouble:
-        await deployment.submit(daemon, JOB, BODY, DEADLINE_S)  # The same request, which was held up on its way.
-    await asyncio.sleep(1)
-    return [f"{task} run {run} was started {at - cancelled_at:.2f} s after the cancel was acknowledged"
-            for at, _, task, run in deployment.starts_of(JOB) if at > cancelled_at + CANCEL_S]
-
-
-play(FOLDER, case)
+    jobs = {}
+    for number in range(JOBS_PER_S * JOBS_S):
+        edge, service = deployment.edges[number % len(deployment.edges)], SERVICES[number % 2]
+        job = f"{number:016x}"
+        jobs[job] = service
+        asyncio.create_task(deployment.submit(edge, job, BODY, DEADLINE_S, service=service))
+        await asyncio.sleep(1 / JOBS_PER_S)
+    await asyncio.sleep(DEADLINE_S)
+    wrong = [(at, by, task) for at, by, task, _ in deployment.starts if by.service != jobs[task.split(".")[0]]]
+    return [f"{len(wrong)} tasks of the queue of quotes were started on runners of orders, the first ({task}) at "
+            f"{at:.2f} s on {by.name}" for at, by, task in wrong[:1]]
+
+
+play(FOLDER, case, prepare, services=SERVICES)
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -185,6 +185,7 @@
     def __init__(self, record, name, service, zone, address, agent, cpu, labels, on_start, on_end):
         self.record, self.name, self.service, self.zone = record, name, service, zone
         self.address, self.agent, self.cpu, self.labels = address, agent, cpu, labels
+        self.listen = address  # Another one if a case puts a proxy at its address.
         self.on_start, self.on_end = on_start, on_end
         self.changed = asyncio.Condition()
         self.begin_life()
@@ -200,11 +201,11 @@
         return int((time.monotonic() - self.started) * 1000)
 
     async def start(self):
-        self.server = await serve(self.address, lambda *request: self.handle(*request))  # A case may replace it.
+        self.server = await serve(self.listen, self.handle)
         self.tasks = [asyncio.create_task(self.advance()), asyncio.create_task(self.announce())]
 
-    async def crash(self, down_s):
-        """Crashes, and starts again under the same id after a while."""
+    async def crash(self, down_s, on_start=None):
+        """Crashes, and starts again under the same id after a while. Calls @p on_start as soon as it takes calls."""
         self.record.line(f"sys  {self.name} crashes")
         self.server.close()
         for writer in list(self.server.connections):
@@ -216,8 +217,10 @@
         self.active = {}
         await asyncio.sleep(down_s)
         self.begin_life()
-        await self.start()
         self.record.line(f"sys  {self.name} starts again under its id")
+        await self.start()
+        if on_start:
+            await on_start()
 
     def heartbeat(self):
         self.seq += 1
