Review 3, case 11: entries that the store turns away miss a second evacuation

Cause: an agent doesn't pass on an operator state that is equal to the last one that it has read itself, although entries have had another one since. Change: a script in which the store turns the edges away twice, and a zone is evacuated each time.

--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -80,7 +80,7 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self.work = tempfile.mkdtemp(prefix="mf-review-")
         self.net = self.find_free_net(edges + sides + 1)
-        self.store = Store(f"{self.net}.1:8169")
+        self.store = Store(f"{self.net}.1")
         self.edges = [Machine(f"edge-{ZONES[i % 3]}-{i // 3 + 1}", "entry", f"{self.net}.{10 + i}", ZONES[i % 3])
                       for i in range(edges)]
         self.sides = [Machine(f"side-{ZONES[i % 3]}-{i // 3 + 1}", "agent", f"{self.net}.{100 + i}", ZONES[i % 3])
@@ -129,7 +129,7 @@
                   "seeds": [f"{edge.ip}:{CONTROL}" for edge in self.edges[:3]], "limits": LIMITS[kind],
                   "listen": {"frontend": f"{machine.ip}:{FRONTEND}", "readiness": f"{machine.ip}:{READINESS}",
                              "control": f"{machine.ip}:{CONTROL}"},
-                  "platform": {"addr": self.store.address}, "bounds": BOUNDS}
+                  "platform": {"addr": self.store.addresses[machine.name]}, "bounds": BOUNDS}
         path = os.path.join(self.work, f"{machine.name}.ini")
         with open(path, "w") as file:
             file.write(fill_in(template, fields))
@@ -149,7 +149,7 @@
         program = os.path.join(self.root, "target", "programs", "marjoramferryd")
         if not os.path.exists(program):
             raise RuntimeError("the programs are missing: run the build of deploy/system.toml first")
-        await self.store.start()
+        await self.store.start([machine.name for machine in [*self.edges, *self.sides]])
         await self.store.write("op", "config", {
             "version": 3, "limits": {},
             "services": [{"name": each, "rejects-overload": False} for each in self.services],
--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -1,10 +1,12 @@
 """Stand-ins of the platform's store and of runners, as PROTOCOL.md describes them. They run in the case's process."""
 import asyncio
 import base64
+import functools
 import json
 import random
 import time
 
+STORE_PORT = 8169
 TX_S = 0.008  # tx-ms of the store.
 READ_S = 0.004
 HOLD_MAX_MS = 1000
@@ -103,17 +105,49 @@
         return None
 
 
-class Store:
-    """The platform's store: rows in tables, transactions, and a feed of changes."""
+class Signal:
+    """Wakes all that wait for it."""
 
-    def __init__(self, address):
-        self.address, self.rows, self.version = address, {}, 0
-        self.changed = asyncio.Condition()
+    def __init__(self):
+        self.event = asyncio.Event()
 
-    async def start(self):
-        self.server = await serve(self.address, self.handle)
+    def notify(self):
+        self.event.set()
+        self.event = asyncio.Event()
 
-    async def handle(self, method, path, query, headers, body):
+    async def wait(self, timeout):
+        try:
+            await asyncio.wait_for(self.event.wait(), timeout)
+        except asyncio.TimeoutError:
+            pass
+
+
+class Store:
+    """The platform's store: rows in tables, transactions, and a feed of changes."""
+
+    def __init__(self, host):
+        self.host, self.rows, self.version = host, {}, 0
+        self.turned_away = set()  # The machines that it turns away.
+        self.addresses, self.servers = {}, []
+        self.changed = Signal()
+
+    async def start(self, machines):
+        """Serves each machine at an address of its own, so that the machines can be told apart."""
+        for index, machine in enumerate(machines):
+            self.addresses[machine] = f"{self.host}:{STORE_PORT + index}"
+            self.servers.append(await serve(self.addresses[machine], functools.partial(self.serve_machine, machine)))
+
+    async def turn_away(self, machines):
+        self.turned_away = set(machines)
+        self.changed.notify()
+
+    async def serve_machine(self, machine, method, path, query, headers, body):
+        if machine in self.turned_away:
+            return 503, {}
+        answer = await self.handle(machine, path, query, body)
+        return (503, {}) if machine in self.turned_away and path == "/api/rows-feed" else answer
+
+    async def handle(self, machine, path, query, body):
         if path == "/api/rows-tx":
             await asyncio.sleep(TX_S)
             return await self.commit(json.loads(body))
@@ -121,7 +155,7 @@
             await asyncio.sleep(READ_S)
             return 200, self.answer(self.select(query))
         if path == "/api/rows-feed":
-            return 200, await self.follow(query)
+            return 200, await self.follow(machine, query)
         return 404, {}
 
     def answer(self, rows, **more):
@@ -148,26 +182,24 @@
             self.rows[(each["table"], each.get("part", ""), each["key"])] = (each["value"], self.version, False)
         for each in body["remove"]:
             self.rows[(each["table"], each.get("part", ""), each["key"])] = ("", self.version, True)
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.notify()
         return 200, {"ver": self.version}
 
-    async def follow(self, query):
+    async def follow(self, machine, query):
         end = time.monotonic() + int(query.get("wait-ms", 0)) / 1000
         while True:
             after = int(query["after"])
             names = [name for name, row in self.rows.items() if name[0] == query["table"] and row[1] > after]
             left = end - time.monotonic()
-            if names or left <= 0:
+            if names or left <= 0 or machine in self.turned_away:
                 return self.answer([self.row(name) for name in sorted(names, key=lambda name: self.rows[name][1])])
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
+            await self.changed.wait(left)
 
     async def write(self, table, key, value):
-        """A write of the operator."""
+        """A write of the operator; a value of None removes the row. The return is its acknowledgement."""
+        if value is None:
+            await self.commit({"expected-rev": [], "remove": [{"table": table, "key": key}], "writes": []})
+            return
         text = base64.b64encode(json.dumps(value).encode()).decode()
         await self.commit({"expected-rev": [], "remove": [], "writes": [{"table": table, "key": key, "value": text}]})
 
@@ -187,7 +219,7 @@
         self.address, self.agent, self.cpu, self.labels = address, agent, cpu, labels
         self.listen = address  # Another one if a case puts a proxy at its address.
         self.on_start, self.on_end = on_start, on_end
-        self.changed = asyncio.Condition()
+        self.changed = Signal()
         self.begin_life()
 
     def begin_life(self):
@@ -252,8 +284,7 @@
                 continue
             for run in over:
                 self.end(run)
-            async with self.changed:
-                self.changed.notify_all()
+            self.changed.notify()
 
     def end(self, run):
         del self.active[(run.task, run.run)]
@@ -310,10 +341,6 @@
         self.ends = [end for end in self.ends if end[0] > request["observed"]]
         end_at = time.monotonic() + request.get("wait-ms", 0) / 1000
         while not self.ends and (left := end_at - time.monotonic()) > 0:
-            try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), left)
-            except asyncio.TimeoutError:
-                pass
+            await self.changed.wait(left)
         running = [[run.task, run.run, "", 100, run.cpu] for run in self.active.values()]
         return 200, {"clock-ms": self.clock(), "born": self.born, "running": running, "finished": self.ends[:MAX_ENDS]}
