Agent: report no end while another run of its task may be on the worker

Cause: a start that went unanswered is delivered to the next process under the worker's ID, before the agent's first poll. That poll lists the late run of the task, and not the present one. reconcileRuns() took the present one for gone by the same listing, and the entry started the task on another worker; the late run was only stopped beside it. Rejections did the same: an order for a task that the worker was listing a run of ended as no_room or withdrawn, and was placed elsewhere. Change: all ends pass reportEnd(). One other than DONE is withheld while the worker lists an unknown run of the task, while runs_ has another run of it (another entry's), or, for a rejection of a task that has an unanswered start, until a listing of a later call has shown what runs. It is released by a complete listing of a call that was sent afterwards, by the end of the lease, or once the address answers for another process. Unknown runs are kept as a set, and are gone only by such a listing; a worker that leaves is known until then. An order for a task with an unanswered start waits while another process is announced. UnansweredStarts keeps these starts for 12 s, as long as the platform may carry them out. A run whose task has none ends as before, with the first listing.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -55,7 +55,7 @@
                    [&](const PeerMessage &each) { onEntryBatch(each, now); },
                    [&](const PeerClosed &each) { onPeerClosed(each, now); },
                    [&](const WorkerAnnouncement &each) { supervisor_.handleAnnouncement(each, now); },
-                   [&](const WorkerDeparture &each) { supervisor_.handleDeparture(each); },
+                   [&](const WorkerDeparture &each) { supervisor_.handleDeparture(each, now); },
                    [&](const WorkerReply &each) { supervisor_.handleReply(each, now); },
                    [&](const EntriesRead &each) {
                        std::ranges::for_each(each.addresses, [this](const auto &address) { addEntry(address); });
@@ -233,7 +233,7 @@
         log(LogEvent::Level::Warning,
             "order_stale",
             {{"request", order.requestId}, {"job", order.jobId}, {"age_us", absl::StrCat(ageUs)}});
-        supervisor_.rejectRun(request, "order_stale");
+        supervisor_.rejectRun(request, "order_stale", now);
         return;
     }
     // An order that is sent again over a new connection may come together with its withdrawal.
@@ -241,7 +241,7 @@
         return each.__isset.withdrawal && each.withdrawal.runNumber == order.runNumber;
     });
     if (isWithdrawn) {
-        supervisor_.rejectRun(request, "withdrawn");
+        supervisor_.rejectRun(request, "withdrawn", now);
         return;
     }
     supervisor_.requestRun(std::move(request), now);
--- a/request/worker_supervisor.cpp
+++ b/request/worker_supervisor.cpp
@@ -32,28 +32,14 @@
     , lease_(timing.leaseDuration)
     , contact_(static_cast<uint64_t>(fence))
     , fence_(fence)
+    , unansweredStarts_(timing.lateCallTime)
 {
 }
 
-/** Ends all runs. Once the worker has accepted the raised fence, it executes no earlier start. */
-void WorkerSupervisor::dropAllRuns(const std::string &reason, MonotonicTime now)
-{
-    if (!runs_.empty()) {
-        raiseFence(fence_ + 1);
-        requiredFence_ = fence_;
-        isReconciled_ = false;
-    }
-    while (!runs_.empty()) {
-        finishRun(runs_.begin()->first, wire::RunOutcome::GONE, reason, now);
-    }
-    rejectWaitingRuns(reason);
-    startCalls_.clear();
-}
-
 void WorkerSupervisor::requestRun(RunRequest request, MonotonicTime now)
 {
     if (isDraining_ || !worker_ || worker_->leaving) {
-        rejectRun(request, isDraining_ ? "agent_leaving" : (worker_ ? "worker_leaving" : "no_worker"));
+        rejectRun(request, isDraining_ ? "agent_leaving" : (worker_ ? "worker_leaving" : "no_worker"), now);
         return;
     }
     const auto place = std::ranges::upper_bound(queue_, request.rank, {}, &RunRequest::rank);
@@ -67,7 +53,7 @@
     if (waiting != queue_.end()) {
         const RunRequest request = *waiting;
         queue_.erase(waiting);
-        rejectRun(request, "withdrawn");
+        rejectRun(request, "withdrawn", now);
         return;
     }
     const auto onWorker
@@ -82,7 +68,7 @@
     const auto isAffected = [&](const RunOrderId &orderId) {
         return orderId.entryIncarnation == entryIncarnation && orderId.session < session;
     };
-    rejectWaitingRuns("withdrawn", [&](const RunRequest &request) { return isAffected(request.orderId); });
+    rejectWaitingRuns("withdrawn", now, [&](const RunRequest &request) { return isAffected(request.orderId); });
     for (auto &[key, run] : runs_) {
         if (isAffected(run.request.orderId) && run.phase != Phase::Stopping) {
             stopRun(run, now);
@@ -94,18 +80,18 @@
  * Rejects the waiting runs that were placed for an earlier worker: the present one may be of another service or without
  * the labels that they require, also if it has the same ID.
  */
-void WorkerSupervisor::rejectMisplacedRuns()
+void WorkerSupervisor::rejectMisplacedRuns(MonotonicTime now)
 {
     if (!worker_) {
         return;
     }
-    rejectWaitingRuns("other_worker",
-                      [&](const RunRequest &request) { return !isPlacedFor(request, worker_->identity); });
+    rejectWaitingRuns(
+        "other_worker", now, [&](const RunRequest &request) { return !isPlacedFor(request, worker_->identity); });
 }
 
 void WorkerSupervisor::startQueuedRuns(MonotonicTime now)
 {
-    rejectMisplacedRuns();
+    rejectMisplacedRuns(now);
     if (!canStartRuns()) {
         return;
     }
@@ -113,7 +99,9 @@
     std::vector<RunRequest> stillQueued;
     for (RunRequest &request : std::exchange(queue_, {})) {
         // The worker can't tell two runs of the same task apart. All its runs share the lease that it already has.
-        if (!request.demand.fitsIn(freeCapacity) || hasRunOfTask(request.key)
+        // Nor can the agent tell which process an earlier start of the task may reach while another one is announced.
+        const bool mayStartLate = !candidates_.empty() && unansweredStarts_.hasStartOfTask(request.key);
+        if (!request.demand.fitsIn(freeCapacity) || hasRunOfTask(request.key) || mayStartLate
             || latestLeaseEndFor(request.orderId) < std::max(now, lease_.latestEnd())) {
             stillQueued.push_back(std::move(request));
             continue;
@@ -142,7 +130,7 @@
  */
 MonotonicTime WorkerSupervisor::latestLeaseEnd() const
 {
-    if (unknownRunsCall_) {
+    if (!unknownRuns_.isEmpty()) {
         return MonotonicTime();
     }
     const auto first = std::ranges::min_element(runs_, {}, [](const auto &each) { return each.second.latestLeaseEnd; });
@@ -244,6 +232,7 @@
         judgeCandidates(reply, now);
     }
     startQueuedRuns(now);
+    releaseEnds();
     sendPollIfNeeded(now);
 }
 
@@ -262,10 +251,11 @@
         if (run.startsSent > 1) {
             break;
         }
-        finishRun(key, wire::RunOutcome::NOT_STARTED, "not_sent", now);
+        finishRun(key, wire::RunOutcome::NOT_STARTED, "not_sent", now, listingNeededSince(key, now));
         return;
     case CallOutcome::Unresolved:
         run.unansweredAt = run.unansweredAt.value_or(now);
+        unansweredStarts_.add(key, now);
         log(LogEvent::Level::Warning,
             "start_unanswered",
             {{"request", run.request.requestId}, {"run", describe(key)}, {"reason", reply.errorMessage}});
@@ -317,7 +307,7 @@
         runs_[retried.key].retries = retries;
         return;
     }
-    finishRun(key, wire::RunOutcome::NOT_STARTED, rejectionName(reply.rejection), now);
+    finishRun(key, wire::RunOutcome::NOT_STARTED, rejectionName(reply.rejection), now, listingNeededSince(key, now));
     if (reply.rejection == Rejection::OtherIncarnation) {
         handleReplacement(now);
     }
@@ -364,6 +354,8 @@
 {
     updateLatestLeaseEnds();
     rejectOverdueRuns(now);
+    unansweredStarts_.removeExpired(now);
+    releaseEnds();
     if (!worker_) {
         return;
     }
@@ -372,7 +364,7 @@
             stopRun(run, now);
         }
     }
-    if (lease_.hasUnansweredCalls() && !runs_.empty() && lease_.isExpired(now) && !isLeaseUnknown_) {
+    if (lease_.hasUnansweredCalls() && !isIdle() && lease_.isExpired(now) && !isLeaseUnknown_) {
         log(LogEvent::Level::Warning,
             "lease_lapsed",
             {{"worker", worker_->identity.id},
@@ -386,13 +378,13 @@
     }
     const bool isSilent
         = now - lastAnnouncementAt_ > timing_.announcementTimeout && now - lastReplyAt_ > timing_.announcementTimeout;
-    if (isSilent && (runs_.empty() || lease_.isExpired(now))) {
+    if (isSilent && (isIdle() || lease_.isExpired(now))) {
         log(LogEvent::Level::Warning, "worker_lost", {{"worker", worker_->identity.id}});
         dropAllRuns("worker_lost", now);
         forgetWorker();
         return;
     }
-    if (hasDeparted_ && runs_.empty()) {
+    if (hasDeparted_ && isIdle()) {
         forgetWorker();
         return;
     }
@@ -403,60 +395,16 @@
 
 void WorkerSupervisor::rejectOverdueRuns(MonotonicTime now)
 {
-    rejectWaitingRuns("no_room", [&](const RunRequest &request) { return now > request.startDeadline; });
+    rejectWaitingRuns("no_room", now, [&](const RunRequest &request) { return now > request.startDeadline; });
 }
 
 void WorkerSupervisor::beginDrain(MonotonicTime now)
 {
     isDraining_ = true;
-    rejectWaitingRuns("agent_leaving");
+    rejectWaitingRuns("agent_leaving", now);
     sendPollIfNeeded(now);
 }
 
-void WorkerSupervisor::finishRun(const RunKey &key,
-                                 wire::RunOutcome::type outcome,
-                                 const std::string &reason,
-                                 MonotonicTime now)
-{
-    const auto found = runs_.find(key);
-    const Run &run = found->second;
-    const int ranMs = run.isConfirmed ? millisecondsBetween(run.confirmedAt, now) : 0;
-    log(LogEvent::Level::Info,
-        "run_ended",
-        {{"request", run.request.requestId},
-         {"run", describe(key)},
-         {"outcome", wire::_RunOutcome_VALUES_TO_NAMES.at(outcome)},
-         {"reason", reason},
-         {"ran_ms", absl::StrCat(ranMs)}});
-    output_.ends.push_back(EndedRun{run.request.orderId, outcome, reason, ranMs});
-    startCalls_.erase(run.startCallId);
-    runs_.erase(found);
-}
-
-void WorkerSupervisor::rejectRun(const RunRequest &request, const std::string &reason)
-{
-    log(LogEvent::Level::Info,
-        "run_rejected",
-        {{"request", request.requestId}, {"run", describe(request.key)}, {"reason", reason}});
-    output_.ends.push_back(EndedRun{request.orderId, wire::RunOutcome::NOT_STARTED, reason, 0});
-}
-
-void WorkerSupervisor::rejectWaitingRuns(const std::string &reason,
-                                         const std::function<bool(const RunRequest &)> &isRejected)
-{
-    for (const RunRequest &request : queue_) {
-        if (isRejected(request)) {
-            rejectRun(request, reason);
-        }
-    }
-    std::erase_if(queue_, isRejected);
-}
-
-void WorkerSupervisor::rejectWaitingRuns(const std::string &reason)
-{
-    rejectWaitingRuns(reason, [](const RunRequest &) { return true; });
-}
-
 /** A start that was sent before may be sent to the process it was placed for, once that has announced itself. */
 bool WorkerSupervisor::mayStartAgain(const RunRequest &request) const
 {
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -8,6 +8,8 @@
 #include "request/ended_processes.h"
 #include "request/entry_liveness.h"
 #include "request/successor_candidate.h"
+#include "request/unanswered_starts.h"
+#include "request/unknown_runs.h"
 #include "request/worker_contact.h"
 #include "request/worker_lease.h"
 #include "request/worker_protocol.h"
@@ -57,6 +59,7 @@
     int maxUnansweredStarts = 2; ///< Unanswered StartRun calls before the fence is raised.
     Milliseconds secondPollDelay{50}; ///< A second poll is sent beside one without an answer for this long.
     Milliseconds retryDelay{100}; ///< Between two sends of the same stop or poll.
+    Milliseconds lateCallTime{12'000}; ///< A call without an answer may be executed for so long.
     Milliseconds announcementTimeout{4000}; ///< A worker without announcements and replies for this long is lost.
 };
 
@@ -86,11 +89,11 @@
     };
 
     void handleAnnouncement(const WorkerAnnouncement &announcement, MonotonicTime now);
-    void handleDeparture(const WorkerDeparture &departure);
+    void handleDeparture(const WorkerDeparture &departure, MonotonicTime now);
     void requestRun(RunRequest request, MonotonicTime now);
 
     /** Reports a run as not started. */
-    void rejectRun(const RunRequest &request, const std::string &reason);
+    void rejectRun(const RunRequest &request, const std::string &reason, MonotonicTime now);
     void withdrawRun(const RunOrderId &orderId, MonotonicTime now);
 
     /** Withdraws all runs ordered by the entry in sessions before @p session. */
@@ -123,10 +126,10 @@
         return isReconciled_;
     }
 
-    /** Whether no run is or may be on the worker. */
+    /** Whether no run is or may be on the worker, and each end was reported. */
     bool isIdle() const
     {
-        return runs_.empty();
+        return runs_.empty() && unknownRuns_.isEmpty() && withheldEnds_.empty();
     }
 
 private:
@@ -162,6 +165,15 @@
         Later,
     };
 
+    /** An end that is not reported yet, since another run of the task may be on the worker. */
+    struct WithheldEnd
+    {
+        RunKey key;
+        EndedRun end;
+        /** The listing of a call sent since then has to show what the worker runs; nothing if one has. */
+        std::optional<MonotonicTime> listingSince;
+    };
+
     /** A poll that was sent and is not answered yet. */
     struct PendingPoll
     {
@@ -191,14 +203,17 @@
     void dropAllRuns(const std::string &reason, MonotonicTime now);
     void reportCrash(wire::CrashStatus::type status, const std::string &evidence, MonotonicTime now);
     void retractCrash(const std::string &evidence);
-    void rejectWaitingRuns(const std::string &reason, const std::function<bool(const RunRequest &)> &isRejected);
-    void rejectWaitingRuns(const std::string &reason);
-    void rejectMisplacedRuns();
+    void rejectWaitingRuns(const std::string &reason,
+                           MonotonicTime now,
+                           const std::function<bool(const RunRequest &)> &isRejected);
+    void rejectWaitingRuns(const std::string &reason, MonotonicTime now);
+    void rejectMisplacedRuns(MonotonicTime now);
     void startQueuedRuns(MonotonicTime now);
     void rejectOverdueRuns(MonotonicTime now);
     void startRun(RunRequest request, MonotonicTime now);
     void sendStart(Run &run, MonotonicTime now);
     bool isPollNeeded(MonotonicTime now) const;
+    bool isListingNeeded() const;
     bool hasRunOfTask(const RunKey &key) const;
     MonotonicTime latestLeaseEndFor(const RunOrderId &orderId) const;
     MonotonicTime latestLeaseEnd() const;
@@ -213,6 +228,7 @@
     void onRunEnded(const ListedEnd &end, MonotonicTime now);
     void confirmRun(Run &run, MonotonicTime now);
     void reconcileRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now);
+    void recordUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now);
     void stopUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now);
     void stopRun(Run &run, MonotonicTime now);
     void raiseFence(int64_t atLeast);
@@ -222,7 +238,16 @@
     MonotonicTime nextRetryAt() const;
     void sendPollIfNeeded(MonotonicTime now);
     void sendPoll(Milliseconds wait, bool extendsLease, MonotonicTime now);
-    void finishRun(const RunKey &key, wire::RunOutcome::type outcome, const std::string &reason, MonotonicTime now);
+    void finishRun(const RunKey &key,
+                   wire::RunOutcome::type outcome,
+                   const std::string &reason,
+                   MonotonicTime now,
+                   std::optional<MonotonicTime> listingSince = std::nullopt);
+    void reportEnd(WithheldEnd reported);
+    std::optional<MonotonicTime> listingNeededSince(const RunKey &key, MonotonicTime now) const;
+    std::string_view endObstacle(const WithheldEnd &reported) const;
+    void releaseEnds();
+    void releaseEnds(const std::function<bool(const WithheldEnd &)> &isReleased);
     Demand claimedDemand() const;
     bool mayStartAgain(const RunRequest &request) const;
     bool canStartRuns() const;
@@ -268,8 +293,10 @@
     MonotonicTime lastPollAt_;
     /** Earlier calls may extend the lease of the present process until it has accepted the required fence. */
     bool isLeaseUnknown_ = false;
-    /** The newest call whose listing has runs that this agent has not started, until a later listing has none. */
-    std::optional<int64_t> unknownRunsCall_;
+    UnknownRuns unknownRuns_;
+    UnansweredStarts unansweredStarts_;
+    std::vector<WithheldEnd> withheldEnds_;
+    MonotonicTime listedAllAt_; ///< When the newest call was sent whose listing of the present process is complete.
     bool isReconciled_ = false; ///< The worker accepted the required fence and has no unknown runs.
     bool isDraining_ = false;
     std::string_view loggedObstacle_ = "no_worker"; ///< As of the last call of logAvailability().
--- a/request/worker_supervisor_identity.cpp
+++ b/request/worker_supervisor_identity.cpp
@@ -44,7 +44,7 @@
     // The next process under an ID may be of another kind.
     const bool isSameKind = announcement.service == worker_->service && announcement.domain == worker_->domain;
     const bool isConsistent = announcement.address == worker_->address && (isSameKind || !isAnnounced_);
-    if (!isConsistent && !hasAnswered() && runs_.empty()) {
+    if (!isConsistent && !hasAnswered() && isIdle()) {
         adoptWorker(announcement, now);
         return;
     }
@@ -176,7 +176,7 @@
         return lastReplyAt_ < each.since() && now - each.since() > timing_.leaseDuration;
     };
     const auto newest = std::find_if(candidates_.rbegin(), candidates_.rend(), isUnopposed);
-    if (runs_.empty() && newest != candidates_.rend()) {
+    if (isIdle() && newest != candidates_.rend()) {
         const WorkerAnnouncement announcement = newest->announcement();
         candidates_.erase(findCandidate(announcement.identity));
         acceptCandidate(announcement, now);
@@ -186,7 +186,7 @@
 void WorkerSupervisor::acceptCandidate(const WorkerAnnouncement &announcement, MonotonicTime now)
 {
     if (announcement.identity.id != worker_->identity.id) {
-        if (!runs_.empty()) {
+        if (!isIdle()) {
             handleReplacement(now);
         }
         adoptWorker(announcement, now);
@@ -240,7 +240,8 @@
     contact_.reset();
     lease_.reset(); // An announced clock is not used until a reply of the process has confirmed it.
     isLeaseUnknown_ = true;
-    unknownRunsCall_.reset();
+    unknownRuns_.clear();
+    listedAllAt_ = MonotonicTime();
     lastEndSeen_ = 0;
     lastEndAcknowledged_ = 0;
     acceptedFence_ = 0;
@@ -280,17 +281,17 @@
 }
 
 /** A worker that says that it leaves still has its runs until it no longer answers, and their lease has expired. */
-void WorkerSupervisor::handleDeparture(const WorkerDeparture &departure)
+void WorkerSupervisor::handleDeparture(const WorkerDeparture &departure, MonotonicTime now)
 {
     if (!worker_ || worker_->identity.id != departure.id) {
         return;
     }
     log(LogEvent::Level::Info, "worker_left", {{"worker", departure.id}, {"runs", absl::StrCat(runs_.size())}});
     retractCrash("worker_left");
-    rejectWaitingRuns("worker_left");
+    rejectWaitingRuns("worker_left", now);
     worker_->leaving = true;
     hasDeparted_ = true;
-    if (runs_.empty()) {
+    if (isIdle()) {
         forgetWorker();
     }
 }
--- a/request/worker_supervisor_polls.cpp
+++ b/request/worker_supervisor_polls.cpp
@@ -84,6 +84,7 @@
     if (!worker_) {
         return;
     }
+    recordUnknownRuns(poll, listing, now);
     for (const ListedEnd &end : listing.ended) {
         if (end.number > lastEndSeen_) {
             onRunEnded(end, now);
@@ -154,6 +155,18 @@
     }
 }
 
+/** Before the ends of the listing are reported: another run of a task keeps its end from being reported. */
+void WorkerSupervisor::recordUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now)
+{
+    std::vector<RunKey> unknown;
+    std::ranges::copy_if(
+        listing.running, std::back_inserter(unknown), [&](const RunKey &key) { return !runs_.contains(key); });
+    unknownRuns_.record(std::move(unknown), listing.isComplete, poll.sentAt, now);
+    if (listing.isComplete) {
+        listedAllAt_ = std::max(listedAllAt_, poll.sentAt);
+    }
+}
+
 void WorkerSupervisor::stopUnknownRuns(const PendingPoll &poll, const RunListing &listing, MonotonicTime now)
 {
     size_t unknownRuns = 0;
@@ -167,11 +180,6 @@
             "unknown_run_stopped",
             {{"run", describe(key)}, {"worker", worker_->identity.id}});
     }
-    if (unknownRuns > 0) {
-        unknownRunsCall_ = std::max(unknownRunsCall_.value_or(0), poll.callId);
-    } else if (listing.isComplete && poll.callId > unknownRunsCall_.value_or(0)) {
-        unknownRunsCall_.reset();
-    }
     const bool wasReconciled = isReconciled_;
     isReconciled_ = unknownRuns == 0 && listing.isComplete && poll.fence >= requiredFence_;
     if (isReconciled_ && !wasReconciled) {
@@ -192,11 +200,16 @@
     if (isRetry && now < nextRetryAt()) {
         return;
     }
-    if (runs_.empty()) {
-        sendPoll(Milliseconds(0), false, now);
-        return;
-    }
-    sendPoll(isRetry ? Milliseconds(0) : timing_.maxPollWait, true, now);
+    const bool isAnswerUrgent = isRetry || isListingNeeded() || runs_.empty();
+    sendPoll(isAnswerUrgent ? Milliseconds(0) : timing_.maxPollWait, !runs_.empty(), now);
+}
+
+/** Whether no poll has been sent that can show what an end still needs. */
+bool WorkerSupervisor::isListingNeeded() const
+{
+    const MonotonicTime sentAt = pendingPolls_.empty() ? listedAllAt_ : pendingPolls_.rbegin()->second.sentAt;
+    return std::ranges::any_of(
+        withheldEnds_, [&](const WithheldEnd &each) { return each.listingSince && *each.listingSince > sentAt; });
 }
 
 /** The lease of runs must be renewed soon, and candidates judged, so the interval of these polls doesn't grow. */
@@ -214,13 +227,17 @@
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || !candidates_.empty() || lastEndAcknowledged_ < lastEndSeen_
-            || isContactLost() || !lease_.isClockKnown();
+        return !runs_.empty() || !isReconciled_ || isListingNeeded() || !candidates_.empty()
+            || lastEndAcknowledged_ < lastEndSeen_ || isContactLost() || !lease_.isClockKnown();
     }
     if (contact_.isLost() && pendingPolls_.rbegin()->first < contact_.lastFailedCall()) {
         return true;
     }
-    return pendingPolls_.size() == 1 && !runs_.empty()
+    const bool mayShowUnknownRuns = pendingPolls_.rbegin()->second.sentAt >= unknownRuns_.listedAt();
+    if (isListingNeeded() || (!unknownRuns_.isEmpty() && !mayShowUnknownRuns)) {
+        return true;
+    }
+    return pendingPolls_.size() == 1 && !isIdle()
         && now - pendingPolls_.begin()->second.sentAt >= timing_.secondPollDelay;
 }
 
--- a/tests/request/worker_supervisor_identity_test.cpp
+++ b/tests/request/worker_supervisor_identity_test.cpp
@@ -136,7 +136,7 @@
     ReconciledSupervisor fixture(Start - Milliseconds(1100));
     WorkerSupervisor &supervisor = fixture.supervisor;
     const PollRuns poll = fixture.startAndConfirm(runRequest("a", 1), Start);
-    supervisor.handleDeparture({"worker-1"});
+    supervisor.handleDeparture({"worker-1"}, Start);
     CHECK(OutputByKind(supervisor.takeOutput()).ends.empty());
     CHECK_FALSE(supervisor.freeCapacity().takesRuns);
 
--- a/tests/request/worker_supervisor_restart_test.cpp
+++ b/tests/request/worker_supervisor_restart_test.cpp
@@ -211,7 +211,7 @@
 
     supervisor.handleAnnouncement(announcement(99), Start + Milliseconds(20));
     CHECK(OutputByKind(supervisor.takeOutput()).polls.empty());
-    supervisor.handleDeparture({"worker-1"});
+    supervisor.handleDeparture({"worker-1"}, Start);
     REQUIRE(supervisor.state().worker.empty());
     supervisor.handleAnnouncement(announcement(99), Start + Milliseconds(30));
     CHECK(supervisor.state().worker.empty());
@@ -431,7 +431,7 @@
 {
     ReconciledSupervisor fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
-    supervisor.handleDeparture({"worker-1"});
+    supervisor.handleDeparture({"worker-1"}, Start);
     REQUIRE(supervisor.state().worker.empty());
     supervisor.handleAnnouncement(announcement(1, 8), Start + Milliseconds(100));
     CHECK(OutputByKind(supervisor.takeOutput()).polls.at(0).fence > FirstFence);
