Agent: call a restarted worker sooner while a start is unanswered

Cause: until the agent's first call, the next process under a worker's ID executes any earlier start. Change: while a start is unanswered, for 12 s at most, a poll stays pending at an idle worker, and breaks off when its process ends; as long as connections are refused, each tick (20 ms) sends a probe, and the first probe after a loss goes out at the next tick. Probes without any answer keep their growing delays, and so does all of this when no start is unanswered: the cost is 50 refused connections a second for 12 s. While an unknown run is listed, the next poll follows after 10 ms and is answered with the end of that run. Tests: three more cases in worker_supervisor_late_start_test.cpp, red on the commit before (460 ms between probes, no poll at an idle worker, no poll after a listing with an unknown run).

--- a/request/worker_contact.cpp
+++ b/request/worker_contact.cpp
@@ -20,7 +20,7 @@
 {
     schedule_.reset();
     lastFailedCall_ = lastAnsweredCall_;
-    wasUnanswered_ = false;
+    forgetFailedPolls();
 }
 
 void WorkerContact::recordAnswer(int64_t callId)
@@ -28,7 +28,7 @@
     lastAnsweredCall_ = std::max(lastAnsweredCall_, callId);
     if (!isLost()) {
         schedule_.reset();
-        wasUnanswered_ = false;
+        forgetFailedPolls();
     }
 }
 
@@ -41,14 +41,23 @@
     }
 }
 
-void WorkerContact::recordFailedPoll(int64_t callId, bool isUnanswered, MonotonicTime now)
+void WorkerContact::recordFailedPoll(const WorkerReply &reply, MonotonicTime now)
 {
-    if (callId < lastAnsweredCall_) {
+    if (reply.callId < lastAnsweredCall_) {
         return;
     }
-    lastFailedCall_ = std::max(lastFailedCall_, callId);
-    wasUnanswered_ = isUnanswered;
+    lastFailedCall_ = std::max(lastFailedCall_, reply.callId);
+    wasUnanswered_ = reply.outcome == CallOutcome::Unresolved;
+    wasRefused_ = reply.isRefused;
+    ++failedPolls_;
     nextProbeAt_ = now + schedule_.nextDelay();
 }
 
+void WorkerContact::forgetFailedPolls()
+{
+    wasUnanswered_ = false;
+    wasRefused_ = false;
+    failedPolls_ = 0;
+}
+
 } // namespace marjoramferry
--- a/request/worker_contact.h
+++ b/request/worker_contact.h
@@ -2,6 +2,7 @@
 
 #include "core/retry_schedule.h"
 #include "core/time.h"
+#include "request/worker_protocol.h"
 
 #include <cstdint>
 
@@ -26,8 +27,8 @@
     /** Records a start or stop that failed. */
     void recordFailedCall(int64_t callId, MonotonicTime now);
 
-    /** Records a poll that failed; @p isUnanswered if there was no reply at all. */
-    void recordFailedPoll(int64_t callId, bool isUnanswered, MonotonicTime now);
+    /** Records a poll that failed. */
+    void recordFailedPoll(const WorkerReply &reply, MonotonicTime now);
 
     /** Whether a call has failed, and no newer one was accepted since. */
     bool isLost() const
@@ -47,6 +48,15 @@
         return nextProbeAt_;
     }
 
+    /**
+     * Whether a probe is cheap and may soon be answered: no process accepts connections, as while a worker restarts, or
+     * the contact has just been lost.
+     */
+    bool isRestartLikely() const
+    {
+        return isLost() && (wasRefused_ || failedPolls_ <= 1);
+    }
+
     /** Whether the connections that are open may be dead. */
     bool needsNewConnection() const
     {
@@ -54,11 +64,15 @@
     }
 
 private:
+    void forgetFailedPolls();
+
     RetrySchedule schedule_;
     int64_t lastAnsweredCall_ = 0;
     int64_t lastFailedCall_ = 0;
     MonotonicTime nextProbeAt_;
-    bool wasUnanswered_ = false;
+    bool wasUnanswered_ = false; ///< The last poll had no reply at all.
+    bool wasRefused_ = false; ///< The connection for the last poll was refused.
+    int failedPolls_ = 0; ///< Since the last answer.
 };
 
 } // namespace marjoramferry
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -59,6 +59,7 @@
     int maxUnansweredStarts = 2; ///< Unanswered StartRun calls before the fence is raised.
     Milliseconds secondPollDelay{50}; ///< A second poll is sent beside one without an answer for this long.
     Milliseconds retryDelay{100}; ///< Between two sends of the same stop or poll.
+    Milliseconds urgentPollDelay{10}; ///< Between polls of a worker that may have restarted with an earlier start.
     Milliseconds lateCallTime{12'000}; ///< A call without an answer may be executed for so long.
     Milliseconds announcementTimeout{4000}; ///< A worker without announcements and replies for this long is lost.
 };
@@ -214,6 +215,7 @@
     void sendStart(Run &run, MonotonicTime now);
     bool isPollNeeded(MonotonicTime now) const;
     bool isListingNeeded() const;
+    Milliseconds nextPollWait(bool isRetry) const;
     bool hasRunOfTask(const RunKey &key) const;
     MonotonicTime latestLeaseEndFor(const RunOrderId &orderId) const;
     MonotonicTime latestLeaseEnd() const;
--- a/request/worker_supervisor_polls.cpp
+++ b/request/worker_supervisor_polls.cpp
@@ -22,7 +22,7 @@
     if (isPoll ? hasUsableListing(reply) : reply.outcome == CallOutcome::Accepted) {
         contact_.recordAnswer(reply.callId);
     } else if (isPoll && reply.rejection != Rejection::StaleFence) {
-        contact_.recordFailedPoll(reply.callId, reply.outcome == CallOutcome::Unresolved, now);
+        contact_.recordFailedPoll(reply, now);
     } else if (reply.isRefused || reply.rejection == Rejection::Unhealthy || reply.rejection == Rejection::Malformed) {
         contact_.recordFailedCall(reply.callId, now);
     }
@@ -190,7 +190,10 @@
     lastPollAt_ = now;
 }
 
-/** Keeps a poll pending at the worker while runs, ends, the reconciliation or a lost contact need one. */
+/**
+ * Keeps a poll pending at the worker while runs, ends, the reconciliation or a lost contact need one, and while a start
+ * is unanswered: the poll breaks off when the process ends, whose successor may execute that start.
+ */
 void WorkerSupervisor::sendPollIfNeeded(MonotonicTime now)
 {
     if (!worker_ || !isPollNeeded(now)) {
@@ -200,8 +203,16 @@
     if (isRetry && now < nextRetryAt()) {
         return;
     }
-    const bool isAnswerUrgent = isRetry || isListingNeeded() || runs_.empty();
-    sendPoll(isAnswerUrgent ? Milliseconds(0) : timing_.maxPollWait, !runs_.empty(), now);
+    sendPoll(nextPollWait(isRetry), !runs_.empty(), now);
+}
+
+Milliseconds WorkerSupervisor::nextPollWait(bool isRetry) const
+{
+    if (!unknownRuns_.isEmpty() && !isContactLost()) {
+        return timing_.retryDelay; // The answer comes with the end of the run that is being stopped.
+    }
+    const bool isWatched = !runs_.empty() || !unansweredStarts_.isEmpty();
+    return isRetry || isListingNeeded() || !isWatched ? Milliseconds(0) : timing_.maxPollWait;
 }
 
 /** Whether no poll has been sent that can show what an end still needs. */
@@ -212,22 +223,29 @@
         withheldEnds_, [&](const WithheldEnd &each) { return each.listingSince && *each.listingSince > sentAt; });
 }
 
-/** The lease of runs must be renewed soon, and candidates judged, so the interval of these polls doesn't grow. */
+/**
+ * The lease of runs must be renewed soon, and candidates judged, so the interval of these polls doesn't grow. It is
+ * shortest while a restarted worker may execute an earlier start, or already does: its first call ends that.
+ */
 MonotonicTime WorkerSupervisor::nextRetryAt() const
 {
+    const bool mayStartLate = contact_.isRestartLikely() && !unansweredStarts_.isEmpty();
+    const bool hasStartedLate = !unknownRuns_.isEmpty() && !isContactLost();
+    const MonotonicTime urgent = lastPollAt_ + timing_.urgentPollDelay;
     const MonotonicTime regular = lastPollAt_ + timing_.retryDelay;
     if (!contact_.isLost()) {
-        return regular;
+        return hasStartedLate ? urgent : regular;
     }
     const bool isUrgent = !runs_.empty() || !candidates_.empty();
-    return isUrgent ? std::min(regular, contact_.nextProbeAt()) : contact_.nextProbeAt();
+    const MonotonicTime probe = isUrgent ? std::min(regular, contact_.nextProbeAt()) : contact_.nextProbeAt();
+    return mayStartLate ? std::min(urgent, probe) : probe;
 }
 
 /** Whether to send another poll: the first one, a probe, or a second one beside one that may have been lost. */
 bool WorkerSupervisor::isPollNeeded(MonotonicTime now) const
 {
     if (pendingPolls_.empty()) {
-        return !runs_.empty() || !isReconciled_ || isListingNeeded() || !candidates_.empty()
+        return !isIdle() || !isReconciled_ || !unansweredStarts_.isEmpty() || !candidates_.empty()
             || lastEndAcknowledged_ < lastEndSeen_ || isContactLost() || !lease_.isClockKnown();
     }
     if (contact_.isLost() && pendingPolls_.rbegin()->first < contact_.lastFailedCall()) {
--- a/tests/request/worker_supervisor_late_start_test.cpp
+++ b/tests/request/worker_supervisor_late_start_test.cpp
@@ -44,6 +44,7 @@
 /** A supervisor that runs the second run of a task, and has had no answer to the start of the first one. */
 struct UnansweredFirstStart : ReconciledSupervisor
 {
+    std::optional<PollRuns> earlier; ///< Sent with the first start, and not answered.
     PollRuns pending; ///< Sent after the second run was confirmed.
 
     UnansweredFirstStart()
@@ -73,6 +74,7 @@
     PollRuns startSecondRun()
     {
         const auto [first, second] = startTwice(request(First, 1), Start + Milliseconds(20));
+        earlier = first.polls.at(0);
         supervisor.handleReply(unanswered(second.starts[0].callId), Start + Milliseconds(60));
         const OutputByKind fenced(supervisor.takeOutput());
         const OutputByKind resolved = answer(supervisor, fenced, {}, 7, Start + Milliseconds(61));
@@ -249,3 +251,71 @@
     REQUIRE(output.ends.size() == 1);
     CHECK(output.ends[0].outcome == wire::RunOutcome::DONE);
 }
+
+// Guards against a restarted worker that executes earlier starts for half a second, until the agent's first call.
+TEST_CASE("A worker that refuses connections is called at each tick while a start is unanswered, and later rarely")
+{
+    constexpr Milliseconds Tick{20};
+    constexpr Milliseconds RareDelay{375}; // 500 ms, shortened by a quarter.
+    UnansweredFirstStart fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    supervisor.handleReply(unanswered(fixture.pending.callId), Start + Milliseconds(100));
+    const WorkerTiming timing;
+    MonotonicTime lastPollAt = Start + Milliseconds(100);
+    Milliseconds longestWhileUnanswered{0};
+    Milliseconds shortestLater = timing.lateCallTime;
+    for (MonotonicTime now = lastPollAt; now < Start + 2 * timing.lateCallTime; now += Tick) {
+        supervisor.tick(now);
+        const OutputByKind output(supervisor.takeOutput());
+        if (output.polls.empty()) {
+            continue;
+        }
+        const Milliseconds gap(millisecondsBetween(lastPollAt, now));
+        if (now < Start + timing.lateCallTime) {
+            longestWhileUnanswered = std::max(longestWhileUnanswered, gap);
+        } else if (now > Start + timing.lateCallTime + Milliseconds(2000)) {
+            shortestLater = std::min(shortestLater, gap);
+        }
+        lastPollAt = now;
+        for (const PollRuns &each : output.polls) {
+            WorkerReply reply = refused(each.callId);
+            reply.outcome = CallOutcome::NotSent;
+            supervisor.handleReply(reply, now);
+        }
+    }
+    CHECK(longestWhileUnanswered <= Tick);
+    CHECK(shortestLater >= RareDelay);
+}
+
+// Guards against the same for a worker without runs, whose end the agent would not notice.
+TEST_CASE("A poll is pending at an idle worker while a start is unanswered, and no longer")
+{
+    UnansweredFirstStart fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const MonotonicTime done = Start + Milliseconds(100);
+    supervisor.handleReply(unanswered(fixture.earlier->callId), done);
+    supervisor.handleReply(listed(fixture.pending.callId, {}, {{1, Second, EndKind::Done}}), done);
+    OutputByKind output(supervisor.takeOutput());
+    REQUIRE(output.polls.size() == 1);
+    CHECK(output.polls[0].wait == WorkerTiming().maxPollWait);
+    CHECK_FALSE(output.polls[0].leaseEndMs);
+    const MonotonicTime settled = done + WorkerTiming().lateCallTime;
+    supervisor.tick(settled);
+    output = answer(supervisor, output, {}, 7, settled);
+    CHECK(output.polls.empty());
+}
+
+// Guards against a stop of which the agent learns only with its next poll, 100 ms later.
+TEST_CASE("The poll after a listing with an unknown run is answered with the end of that run")
+{
+    UnansweredFirstStart fixture;
+    WorkerSupervisor &supervisor = fixture.supervisor;
+    const MonotonicTime seen = Start + Milliseconds(100);
+    supervisor.handleReply(listed(fixture.pending.callId, {First}, {}, NextStartTimeMs), seen);
+    OutputByKind output(supervisor.takeOutput());
+    output = answer(supervisor, output, {First}, NextStartTimeMs, seen + Milliseconds(1));
+    supervisor.tick(seen + Milliseconds(20));
+    output = OutputByKind(supervisor.takeOutput());
+    REQUIRE(output.polls.size() == 1);
+    CHECK(output.polls[0].wait > Milliseconds(0));
+}
