Entry: an agent that sees a late run keeps its earlier runs open

Cause: an agent that has restarted answers for the runs of its earlier incarnation once it has cleared its worker. Without that word the entry takes them for ended 1,850 ms after the last message of that incarnation, by when their lease is over. A start that is executed late outlasts that lease: the agent lists the run and stops it, and if the stop is lost, the entry starts the task again beside it, although the agent is in touch. Change: agents report whether their worker has a run that they have not started (AgentBatch.hasUnknownRuns); as long as they do, the time-out of the earlier runs on that worker starts anew. No lease is renewed meanwhile, so it is short. An agent without a worker, with another one, or with one that doesn't answer is treated as before.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -437,6 +437,7 @@
         batch.__set_operatorState(operatorStateCache_.state());
     }
     batch.cleared = supervisor_.isReconciled();
+    batch.hasUnknownRuns = supervisor_.hasUnknownRuns();
     batch.fence = supervisor_.fence();
     batch.connectedEntries = connectedEntries_;
     batch.wantsOperatorState = std::exchange(entry.isAskedForState, false);
--- a/request/worker_directory.cpp
+++ b/request/worker_directory.cpp
@@ -118,6 +118,10 @@
     if (batch.room.takesRuns) {
         view.tookRunsAt = now;
     }
+    if (batch.hasUnknownRuns && view.earlierWorkers.contains(view.state.worker)) {
+        // One of them may be a run of the earlier incarnation that was started late, and outlasts its lease.
+        view.earlierRunsEndAt = std::max(view.earlierRunsEndAt, now + options_.sessionTimeout);
+    }
     const bool answersSession = batch.entryIncarnation == incarnation_ && batch.session == view.session;
     // What the agent says of its present worker tells nothing about runs on another one. An incarnation that has ended
     // answers no session.
--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -127,6 +127,12 @@
         return isReconciled_;
     }
 
+    /** Whether the worker lists runs that this incarnation of the agent has not started. */
+    bool hasUnknownRuns() const
+    {
+        return !unknownRuns_.isEmpty();
+    }
+
     /** Whether no run is or may be on the worker, and each end was reported. */
     bool isIdle() const
     {
--- a/tests/request/worker_directory_test.cpp
+++ b/tests/request/worker_directory_test.cpp
@@ -1,31 +1,14 @@
-#include "request/worker_directory.h"
-
-#include <catch2/catch.hpp>
+#include "tests/support/two_agents.h"
 
 #include <algorithm>
 #include <map>
 #include <vector>
 
 using namespace marjoramferry;
+using namespace marjoramferry::testing;
 
 namespace {
 
-const MonotonicTime Start{std::chrono::hours(1)};
-
-wire::AgentBatch batchFrom(const std::string &incarnation, int64_t sentAtUs)
-{
-    wire::AgentBatch batch;
-    batch.agent = "agent";
-    batch.incarnation = incarnation;
-    batch.sentAtUs = sentAtUs;
-    batch.cleared = true;
-    wire::WorkerState worker;
-    worker.worker = "worker";
-    batch.__set_worker(worker);
-    batch.room.takesRuns = true;
-    return batch;
-}
-
 /** The message sent to the agent now, if any. */
 std::optional<wire::EntryBatch> sendDueBatch(WorkerDirectory &directory, MonotonicTime now)
 {
@@ -63,86 +46,6 @@
     return batch;
 }
 
-/** A directory whose subset has one worker, and two agents. */
-struct TwoAgents
-{
-    WorkerDirectory directory{"entry", "entry-1", options()};
-    std::string member; ///< The agent of the subset.
-    std::string other;
-
-    TwoAgents()
-    {
-        for (const char *name : {"a", "b"}) {
-            directory.handleBatch(name[0], batchOf(name, 1), Start);
-        }
-        directory.updateActivity(OperatorStateCache(), Start);
-        REQUIRE(directory.activeViews().size() == 1);
-        member = directory.activeViews().front()->agent;
-        other = member == "a" ? "b" : "a";
-    }
-
-    static WorkerDirectoryOptions options()
-    {
-        WorkerDirectoryOptions options;
-        options.subset = {1, 0};
-        return options;
-    }
-
-    wire::AgentBatch batchOf(const std::string &agent, int64_t sentAtUs) const
-    {
-        wire::AgentBatch batch = batchFrom(agent + "-1", sentAtUs);
-        batch.agent = agent;
-        batch.worker.worker = "w-" + agent;
-        batch.entryIncarnation = "entry-1";
-        const auto view = directory.views().find(agent);
-        batch.session = view == directory.views().end() ? 0 : view->second.session;
-        return batch;
-    }
-
-    /** The first message of the agent's next incarnation. */
-    wire::AgentBatch restartedBatchOf(const std::string &agent) const
-    {
-        wire::AgentBatch batch = batchOf(agent, 1);
-        batch.incarnation = agent + "-2";
-        batch.session = 0;
-        return batch;
-    }
-
-    /** The messages sent now, by agent. */
-    std::map<std::string, wire::EntryBatch> sendBatches(MonotonicTime now)
-    {
-        directory.updateActivity(OperatorStateCache(), now);
-        directory.sendBatches(OperatorStateCache(), false, false, now);
-        std::map<std::string, wire::EntryBatch> sent;
-        for (WorkCommand &command : directory.takeCommands()) {
-            if (const auto *message = std::get_if<SendToLink>(&command)) {
-                sent[std::string(1, static_cast<char>(message->link))] = std::get<wire::EntryBatch>(message->message);
-            }
-        }
-        return sent;
-    }
-
-    void activateOther(MonotonicTime now)
-    {
-        directory.activateStandby([](const WorkerView &) { return true; }, now);
-    }
-
-    /** Activates the other worker, receives its report and orders a run on it. */
-    WorkerView &orderRunOnOther(MonotonicTime now)
-    {
-        activateOther(now);
-        directory.handleBatch(other[0], batchOf(other, 2), now);
-        WorkerView &view = viewOf(other);
-        directory.orderRun(view, wire::RunOrder(), now);
-        return view;
-    }
-
-    WorkerView &viewOf(const std::string &agent)
-    {
-        return **std::ranges::find(directory.activeViews(), agent, &WorkerView::agent);
-    }
-};
-
 } // namespace
 
 TEST_CASE("An agent outside of the subset is put on standby and gets a message every few seconds")
@@ -228,93 +131,6 @@
     CHECK(fixture.directory.activeViews().size() == 1);
 }
 
-// Guards against a second run of a task: an agent that restarted was told of another worker first, and what it had
-// cleared there counted for the worker on which its earlier incarnation's runs went on under their lease.
-TEST_CASE("Runs of an agent that restarted are not lost on the word of another worker before their lease has ended")
-{
-    TwoAgents fixture;
-    fixture.orderRunOnOther(Start);
-    wire::AgentBatch restarted = fixture.restartedBatchOf(fixture.other);
-    restarted.worker.worker = "successor";
-    const LinkId link = static_cast<unsigned char>(fixture.other[0]);
-    const auto connect = [&](MonotonicTime now) {
-        fixture.directory.handleLinkClosed(link);
-        fixture.directory.handleBatch(link, restarted, now);
-        restarted.session = fixture.viewOf(fixture.other).session;
-        CHECK_FALSE(fixture.directory.handleBatch(link, restarted, now)->firstLiveSession);
-    };
-    connect(Start + Milliseconds(100));
-    restarted.incarnation = fixture.other + "-3"; // Its predecessor had runs on neither, but may have had some.
-    connect(Start + Milliseconds(200));
-
-    // The predecessor's last message came 100 ms after the start.
-    const MonotonicTime lastEnd = Start + Milliseconds(100) + WorkerDirectoryOptions().sessionTimeout;
-    restarted.sentAtUs = 2;
-    CHECK_FALSE(fixture.directory.handleBatch(link, restarted, lastEnd)->firstLiveSession);
-    restarted.sentAtUs = 3;
-    const auto update = fixture.directory.handleBatch(link, restarted, lastEnd + Milliseconds(1));
-    CHECK(update->firstLiveSession == fixture.viewOf(fixture.other).session);
-}
-
-// Guards against runs that stay open until the deadline of their job: agent and worker ended together, and the agent
-// came back without a worker, so it cleared nothing.
-TEST_CASE("Runs of an agent that restarted and clears nothing are lost once their lease has ended, and no others")
-{
-    TwoAgents fixture;
-    fixture.orderRunOnOther(Start);
-    wire::AgentBatch restarted = fixture.restartedBatchOf(fixture.other);
-    restarted.cleared = false;
-    restarted.worker = wire::WorkerState();
-    restarted.room.takesRuns = false;
-    const LinkId link = static_cast<unsigned char>(fixture.other[0]);
-    fixture.directory.handleLinkClosed(link);
-    fixture.directory.handleBatch(link, restarted, Start + Milliseconds(100));
-    WorkerView &view = fixture.viewOf(fixture.other);
-    const int64_t session = view.session;
-    restarted.session = session;
-
-    const MonotonicTime lastEnd = Start + WorkerDirectoryOptions().sessionTimeout;
-    if (GENERATE(false, true)) { // Whether it has another worker by then.
-        restarted.worker.worker = "successor";
-        restarted.room.takesRuns = true;
-    }
-    const auto tick = [&](MonotonicTime now) {
-        restarted.sentAtUs += 1;
-        CHECK_FALSE(fixture.directory.handleBatch(link, restarted, now)->firstLiveSession);
-        fixture.sendBatches(now);
-        return fixture.directory.expireSilentSessions(now);
-    };
-    CHECK(tick(Start + Milliseconds(1000)).empty());
-    fixture.directory.orderRun(view, wire::RunOrder(), Start + Milliseconds(1000));
-    CHECK(tick(lastEnd).empty());
-    const auto ended = tick(lastEnd + Milliseconds(1));
-    REQUIRE(ended.size() == 1);
-    CHECK(ended[0].agent == fixture.other);
-    CHECK(ended[0].firstLiveSession == session);
-    CHECK(view.session == session);
-    CHECK(view.openRuns == 1);
-    CHECK(tick(lastEnd + Milliseconds(2)).empty());
-}
-
-TEST_CASE(
-    "Runs of an agent that restarted and then fell silent before it cleared them are lost after the session time-out")
-{
-    TwoAgents fixture;
-    fixture.directory.orderRun(fixture.viewOf(fixture.member), wire::RunOrder(), Start);
-    wire::AgentBatch restarted = fixture.batchOf(fixture.member, 1);
-    restarted.incarnation = fixture.member + "-2";
-    restarted.cleared = false;
-    fixture.directory.handleLinkClosed(fixture.member[0]);
-    fixture.directory.handleBatch(fixture.member[0], restarted, Start + Milliseconds(100));
-    // The time-out counts from the last message of the incarnation that had the runs.
-    const MonotonicTime lastEnd = Start + WorkerDirectoryOptions().sessionTimeout;
-    CHECK(fixture.directory.expireSilentSessions(lastEnd).empty());
-    const auto expired = fixture.directory.expireSilentSessions(lastEnd + Milliseconds(1));
-    REQUIRE(expired.size() == 1);
-    CHECK(expired[0].firstLiveSession == fixture.viewOf(fixture.member).session);
-    CHECK(fixture.directory.expireSilentSessions(Start + Milliseconds(9000)).empty());
-}
-
 TEST_CASE("The first agent of the subset gets a new operator state, and another one if it asks")
 {
     TwoAgents fixture;
--- a/wire/messages.thrift
+++ b/wire/messages.thrift
@@ -466,6 +466,8 @@
     17: list<WorkerCrash> crashes,
     /** Of the agent's calls to its worker; 0 if not reported. */
     18: i64 fence = 0,
+    /** The worker lists a run that this incarnation of the agent has not started. */
+    19: bool hasUnknownRuns = false,
 }
 
 /** Exactly one field is set. */
