Search: late starts reach workers that return with their agents awake

Cause: the plays in virtual time executed late starts 2 to 6 s after they were sent, beside workers that restart at once, so that hardly any reached a process which its agent had not called yet. Change: returnWorker() ends a worker and starts it again under its ID after up to 1.5 s; the new process first executes some of the late starts. Beside it, nothing else, or agents that are killed, drained or frozen for 150 ms, entries that are killed, or callers that leave; stops are executed, late or lost. Checked: no entry learns of the end of a run after its agent has seen another run of the task on the same worker. An overlap with a run that its process was not sent is no violation by itself, as nobody can prevent one.

--- a/request/work_agent.cpp
+++ b/request/work_agent.cpp
@@ -69,7 +69,7 @@
 std::vector<WorkAgentCommand> WorkAgent::flush(MonotonicTime now)
 {
     dispatchSupervisorOutput(now);
-    Report report{supervisor_.state(), supervisor_.freeCapacity()};
+    Report report{supervisor_.state(), supervisor_.freeCapacity(), supervisor_.hasUnknownRuns()};
     const Demand free = fromWire(report.freeCapacity.unclaimed);
     offers_.update(report.freeCapacity.takesRuns ? free : Demand(), now);
     std::ranges::move(offers_.takeLogs(), std::back_inserter(commands_));
@@ -302,7 +302,7 @@
     entry.lastConnectAt = now;
     entry.forgetSent();
     entry.ends.markAllUnsent();
-    send(address, entry, Report{supervisor_.state(), supervisor_.freeCapacity()}, now);
+    send(address, entry, Report{supervisor_.state(), supervisor_.freeCapacity(), supervisor_.hasUnknownRuns()}, now);
 }
 
 void WorkAgent::checkEntryLiveness(Entry &entry, MonotonicTime now)
@@ -408,7 +408,8 @@
     const bool isCapacityUpdateDue
         = report.freeCapacity != entry.lastFreeCapacitySent && elapsed >= capacityUpdateDelay(entry, report);
     if (entry.ends.hasUnsent() || entry.lastCrashSent < crashLog_.lastNumber() || entry.isAskedForState
-        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue || isOperatorStateDue(entry, now)
+        || elapsed >= options_.heartbeatInterval || isCapacityUpdateDue || report.hasUnknownRuns != entry.hadUnknownRuns
+        || isOperatorStateDue(entry, now)
         || (offers_.isOfferUnsent(address) && report.freeCapacity != entry.lastFreeCapacitySent)) {
         send(address, entry, report, now);
     }
@@ -437,7 +438,8 @@
         batch.__set_operatorState(operatorStateCache_.state());
     }
     batch.cleared = supervisor_.isReconciled();
-    batch.hasUnknownRuns = supervisor_.hasUnknownRuns();
+    batch.hasUnknownRuns = report.hasUnknownRuns;
+    entry.hadUnknownRuns = report.hasUnknownRuns;
     batch.fence = supervisor_.fence();
     batch.connectedEntries = connectedEntries_;
     batch.wantsOperatorState = std::exchange(entry.isAskedForState, false);
--- a/request/work_agent.h
+++ b/request/work_agent.h
@@ -139,6 +139,7 @@
         bool wantsOperatorState = false; ///< The entry can't reach the store.
         bool isAskedForState = false; ///< The next message asks it for its operator state.
         bool wasLeaving = false; ///< Last value sent over the current connection.
+        bool hadUnknownRuns = false; ///< Last value sent over the current connection.
         bool isExpired = true; ///< Its runs were withdrawn because there was no proof that it is alive.
     };
 
@@ -147,6 +148,7 @@
     {
         wire::WorkerState worker;
         wire::WorkerRoom freeCapacity;
+        bool hasUnknownRuns = false;
     };
 
     void onEntryBatch(const PeerMessage &event, MonotonicTime now);
--- a/tests/request/work_agent_test.cpp
+++ b/tests/request/work_agent_test.cpp
@@ -222,6 +222,27 @@
     CHECK(fixture.flushMessages(crashed + Milliseconds(300)).at(3).crashes.size() == 1);
 }
 
+// Guards against an entry that takes the runs of the agent's earlier incarnation for ended in the meantime.
+TEST_CASE("An unknown run on the worker is reported to each entry at once, and so is its end")
+{
+    ConnectedAgent fixture;
+    fixture.placeOrder(0, 4000, Start + Milliseconds(20));
+    const RunKey own = fixture.starts.back().key;
+    const MonotonicTime seen = Start + Milliseconds(30);
+    fixture.agent.handle(fixture.listed({own, {"unknown", 0, 0, 1}}, {}), seen);
+    const auto reports = fixture.flushMessages(seen);
+    REQUIRE(reports.size() == Entries);
+    CHECK(std::ranges::all_of(reports, [](const auto &each) { return each.second.hasUnknownRuns; }));
+    CHECK(fixture.flushMessages(seen).empty());
+    const MonotonicTime gone = seen + Milliseconds(40);
+    fixture.agent.handle(Tick{}, gone);
+    fixture.flushMessages(gone);
+    fixture.agent.handle(fixture.listed({own}, {}), gone);
+    const auto ends = fixture.flushMessages(gone);
+    REQUIRE(ends.size() == Entries);
+    CHECK(std::ranges::none_of(ends, [](const auto &each) { return each.second.hasUnknownRuns; }));
+}
+
 // Guards against an agent that gets no orders for good: its messages no longer arrive, without an end of the
 // connection, while those of the entry do, with the echo of an old message.
 TEST_CASE("An agent whose messages do not reach the entry connects again, though those of the entry arrive")
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -23,6 +23,8 @@
 inline constexpr const char *ServiceName = "orders";
 /** Share of the calls over a connection that is lost which the worker executes. */
 inline constexpr double ExecutedShare = 0.5;
+/** Between an entry and an agent. */
+inline constexpr Microseconds NodeLatency{1400};
 /** From an agent to its worker. */
 inline constexpr Microseconds WorkerLatency{100};
 /** The host of all calls. */
@@ -44,6 +46,9 @@
     bool lateOrdersReachSuccessors = true; ///< Also by the next process of the worker.
     bool offers = false; ///< The setting `offers` of entries and agents.
     double lateStopShare = 0; ///< Fraction of stops executed seconds later, without a response.
+    double lostStopShare = 0; ///< Fraction of stops never executed, without a response.
+    /** Overlaps with runs that a worker has executed without being sent them are no violations by themselves. */
+    bool toleratesUnsentRuns = false;
     bool callersReturn = false; ///< Callers send a job again, with a new deadline, after theirs has passed.
     bool recordsLog = false; ///< See log().
     Milliseconds maxClockOffset{0}; ///< Each machine's clock is ahead of now() by up to this.
@@ -139,6 +144,11 @@
     void throttleAgent(int agent, Milliseconds runTime, Milliseconds duration);
     /** Kills the worker of an agent and starts another one, under the same id if @p keepsId. */
     void restartWorker(int agent, bool keepsId);
+    /**
+     * Ends the worker of an agent. The next process under its ID starts after @p downtime, and first executes some of
+     * the starts that are late.
+     */
+    void returnWorker(int agent, Milliseconds downtime);
     /** Delivers the announcement of a process that isn't there, under the worker's id if @p usesId. */
     void announceForeignWorker(int agent, bool usesId);
     /** Kills the worker of an agent; another one starts after @p downtime. Until then, calls to it are refused. */
@@ -267,6 +277,24 @@
         MonotonicTime until;
     };
 
+    /** A start that is executed late. */
+    struct LateStart
+    {
+        int agent = 0;
+        StartRun call;
+        int64_t receiverStartTimeMs = 0; ///< Of the process that it was sent to.
+    };
+
+    /** A run that the successor of the process has executed which the start was sent to. */
+    struct UnsentRun
+    {
+        int agent = 0;
+        RunKey key;
+        int64_t startTimeMs = 0; ///< Of the successor.
+        MonotonicTime from;
+        MonotonicTime seenAt = MonotonicTime::max(); ///< When an agent first got a listing with it.
+    };
+
     /** A caller's job and its place among the sends of that job. */
     struct Submission
     {
@@ -299,6 +327,10 @@
     void execute(int entry, WorkEntryCommand &command);
     void execute(int agent, WorkAgentCommand &command);
     void recordDispatch(const LogEvent &event);
+    void checkEnd(const RunKey &key, const std::string &worker);
+    bool isUnsent(const RunInterval &run) const;
+    void executeLateStart(int64_t id);
+    void recordSeenRuns(const PendingCall &pending, const WorkerReply &reply);
     void recordLog(const std::string &process, const LogEvent &event);
     void replyToAgent(const PendingCall &pending, WorkerReply reply);
     void leaveUnanswered(const PendingCall &pending);
@@ -317,6 +349,7 @@
     void failCall(const PendingCall &pending, const WorkerCall &call);
     void refuseCall(const PendingCall &pending);
     void respondToPoll(const PendingCall &pending, const PollRuns &poll, MonotonicTime until);
+    void startWorker(int agent, const std::string &id);
     void announceWorker(int agent);
     void tickEntry(int entry, int64_t generation);
     void tickAgent(int agent, int64_t generation);
@@ -363,6 +396,10 @@
     std::set<uint64_t> endedCalls_; ///< Calls that their entry has ended because the caller had left.
     std::vector<std::string> log_;
     std::map<std::pair<std::string, int>, int> crashesByTask_;
+    std::map<int64_t, LateStart> lateStarts_;
+    int64_t lastLateStart_ = 0;
+    std::vector<UnsentRun> unsentRuns_;
+    std::vector<std::string> prematureEnds_; ///< Descriptions of ends that an agent should have withheld.
     LinkId lastLink_ = 0;
     int64_t lastGeneration_ = 0;
     int64_t messagesSent_ = 0;
