Soak: late starts reach workers that return, beside lost and late stops

Cause: in the soak, late starts were executed by the stand-in itself, after a delay that has nothing to do with restarts, so few reached a process before the first call of its agent. Agents and entries are paused, killed and restarted beside that as always. Checked: no agent logs an end while it has logged another run of the task on its worker that goes on there. Overlaps with a run that its process was not sent don't count, as nobody can prevent them.

--- a/misc/soak.py
+++ b/misc/soak.py
@@ -19,7 +19,8 @@
 shortage of processor time (--busy), connections that go silent without an end, also those to the store and to workers
 (--silent-share, --one-way-share), quotas of processor time (--quota), clients whose connections end late at the entry
 (--late-closes), workers that restart in series while their agents are paused or killed (--successions), workers that refuse, garble or
-don't answer the calls of their agents (--call-faults), and crowds of clients that don't behave (--crowds). Their random numbers are drawn apart: a
+don't answer the calls of their agents (--call-faults), crowds of clients that don't behave (--crowds), and workers that
+return under their ID and first execute starts of before, while stops are lost or late (--late-starts). Their random numbers are drawn apart: a
 seed means the same run without them.
 """
 import argparse
@@ -35,6 +36,7 @@
 from soak_deployment import (CONNECTIONS, DOMAINS, ENTRIES, SERVICE_CONNECTIONS, WORKERS, WORKER_CPU_MILLIS,
                              Deployment, Proxy, Settings, http, write_row)
 from soak_crowds import MemoryWatch
+from soak_late_starts import find_premature_ends, is_unsent
 from soak_faults import fail_calls_of_idle_workers, inject_faults, start_optional_faults, write_odd_entries
 from soak_observation import TimeUse, longest_wait_ms, start_watching_entries, wall_time, watch_stalls
 
@@ -116,7 +118,7 @@
         await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
-def find_violations(work, results, settings):
+def find_violations(deployment, work, results, settings):
     """Checks the invariants against what callers and workers observed; returns descriptions."""
     violations, runs = [], {}
     for index in range(settings.workers):
@@ -134,18 +136,22 @@
         rows.sort(key=lambda row: row["from"])
         for before, after in zip(rows, rows[1:]):
             # 1 ms tolerance, because the log has whole milliseconds.
-            if after["from"] < before.get("to", float("inf")) - 1:
+            is_overlap = after["from"] < before.get("to", float("inf")) - 1
+            if is_overlap and not is_unsent(deployment, before) and not is_unsent(deployment, after):
                 violations.append(f"{task} ran twice at the same time: {before} and {after}")
+    violations += find_premature_ends(deployment, work, runs.values())
+    sent = {task: [row for row in rows if not is_unsent(deployment, row)] for task, rows in tasks.items()}
     for record in results:
-        started = [row for task in tasks if task.startswith(record["job"] + ".") for row in tasks[task]]
+        of_job = [task for task in tasks if task.startswith(record["job"] + ".")]
+        started = [row for task in of_job for row in sent[task]]
         status, body = record.get("answer", (None, ""))
         if status == 200 and '"complete"' in body:
-            done = {row["task"] for row in started if row.get("done")}
+            done = {row["task"] for task in of_job for row in tasks[task] if row.get("done")}
             if len(done) < record["tasks"]:
                 violations.append(f"{record['job']} was reported complete with "
                                   f"{len(done)} of {record['tasks']} tasks done")
         if "crashing_task" in record:
-            starts = len(tasks.get(f"{record['job']}.0.0.{record['crashing_task']}", []))
+            starts = len(sent.get(f"{record['job']}.0.0.{record['crashing_task']}", []))
             if starts > MAX_CRASHES:
                 violations.append(f"{record['job']} was started {starts} times, though it crashes workers")
         if status == 503 and started and len(record["tries"]) == 1:
@@ -157,7 +163,7 @@
     rng = random.Random(seed)
     CONNECTIONS.clear()
     SERVICE_CONNECTIONS.clear()
-    deployment = Deployment(work, base, rng, settings)
+    deployment = Deployment(work, base, rng, settings, seed)
     signal.signal(signal.SIGTERM, lambda *_: deployment.end())
     try:
         deployment.start_by_name("store")
@@ -212,7 +218,7 @@
     finally:
         deployment.kill_all()
     await asyncio.sleep(0.3)  # The proxies close the connections of the processes that have ended.
-    violations = find_violations(work, results + final_results, settings) + memory_violations
+    violations = find_violations(deployment, work, results + final_results, settings) + memory_violations
     with open(f"{work}/clients.json", "w") as out:
         # Runs are logged with the time of the monotonic clock.
         json.dump({"wall_time": wall_time(), "monotonic_s": time.monotonic(), "violations": violations,
@@ -260,6 +266,8 @@
                          help="workers fail the calls of their agents, one or all of them")
     options.add_argument("--crowds", action="store_true",
                          help="crowds of clients that don't behave, at entries and agents")
+    options.add_argument("--late-starts", action="store_true",
+                         help="workers that return execute starts of before; stops are lost or late")
     options.add_argument("--drop-late-on-restart", action="store_true",
                          help="late starts end with the worker's process, and never reach the next one")
     arguments = options.parse_args()
--- a/misc/soak_deployment.py
+++ b/misc/soak_deployment.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from soak_crowds import MACHINE
+from soak_late_starts import HeldCalls
 
 ENTRIES, WORKERS = 3, 5
 MAX_PROXIES = 6  # Agents connect directly to further entries: one process forwards the data of all proxies.
@@ -41,6 +42,7 @@
         self.registry = CONNECTIONS if registry is None else registry
         self.close_delays_s, self.is_running = close_delays_s, is_running
         self.blocked_until = {"up": 0.0, "down": 0.0}  # Also for connections yet to come.
+        self.held_calls = None  # Takes the calls that don't get through.
 
     async def start(self):
         await self.open()
@@ -89,6 +91,8 @@
     async def pump(self, connection, direction, reader, writer):
         try:
             while data := await reader.read(65536):
+                if direction == "up" and self.held_calls and self.held_calls.take(data):
+                    continue
                 # Blocked data is delayed, not dropped.
                 while time.monotonic() < max(connection[direction], self.blocked_until[direction]):
                     await asyncio.sleep(0.01)
@@ -140,21 +144,25 @@
     drop_late_on_restart: bool = False
     call_faults: bool = False
     crowds: bool = False
+    late_starts: bool = False
 
     @property
     def has_service_proxies(self):
-        return bool(self.silent_share or self.one_way_share)
+        return bool(self.silent_share or self.one_way_share or self.late_starts)
 
 
 class Deployment:
-    def __init__(self, work, base, rng, settings=Settings()):
-        self.work, self.base, self.rng, self.settings = work, base, rng, settings
+    def __init__(self, work, base, rng, settings=Settings(), seed=0):
+        self.work, self.base, self.rng, self.settings, self.seed = work, base, rng, settings, seed
         self.entry_slots, self.worker_slots = max(10, settings.entries), max(20, settings.workers)
         self.processes = {}
         self.crashed = set()
         self.store = base
         self.link_port_kind = "proxy"  # Agents connect to the entries through the proxies.
         self.paused_until = {}
+        self.away = set()  # Workers that refuse connections, by index.
+        self.held_calls = []  # Of each worker, if starts are to be late.
+        self.worker_proxies = []
 
     def port(self, kind, index):
         if kind in ENTRY_PORTS:
@@ -170,9 +178,14 @@
                    for i in range(min(settings.entries, MAX_PROXIES))]
         if settings.has_service_proxies:
             proxies.append(Proxy(self.store + 1, self.store, SERVICE_CONNECTIONS))
-            proxies += [Proxy(self.port("worker_proxy", i), self.port("worker", i), SERVICE_CONNECTIONS,
-                              is_running=lambda name=f"workr{i}": self.is_running(name))
-                        for i in range(settings.workers)]
+            self.worker_proxies = [Proxy(self.port("worker_proxy", i), self.port("worker", i), SERVICE_CONNECTIONS,
+                                         is_running=lambda i=i: self.is_running(f"workr{i}") and i not in self.away)
+                                   for i in range(settings.workers)]
+            proxies += self.worker_proxies
+        if settings.late_starts:
+            for i, proxy in enumerate(self.worker_proxies):
+                proxy.held_calls = HeldCalls(f"held {i} {self.seed}", f"w-{i}", proxy.target)
+            self.held_calls = [proxy.held_calls for proxy in self.worker_proxies]
         if settings.late_closes:
             proxies += [Proxy(self.port("http_proxy", i), self.port("http", i), {}, CLOSE_DELAYS_S)
                         for i in range(settings.entries)]
@@ -270,6 +283,22 @@
         await asyncio.sleep(duration)
         await self.restart_after_exit(name, process)
 
+    async def leave_and_return(self, index, downtime):
+        """Restarts the process of a worker, which refuses connections meanwhile and then gets held-up starts first."""
+        if index in self.away:
+            return
+        self.away.add(index)
+        await asyncio.sleep(4 * FOLLOW_INTERVAL_S)  # Connections are refused from now on.
+        for proxy, connection in list(SERVICE_CONNECTIONS.values()):
+            if proxy is self.worker_proxies[index]:
+                for writer in connection["writers"]:
+                    writer.transport.abort()
+        fault = {"restart": True, "absent_ms": int(downtime * 1000)}
+        await http(self.port("worker", index), "POST", "/faults", fault)
+        await asyncio.sleep(downtime)
+        await self.held_calls[index].deliver_starts()
+        self.away.discard(index)
+
     async def restart_crashed(self, name):
         """Restarts a worker some time after each of its ends."""
         while True:
--- a/misc/soak_faults.py
+++ b/misc/soak_faults.py
@@ -6,6 +6,7 @@
 import time
 
 from soak_crowds import inject_crowds
+from soak_late_starts import inject_late_starts
 from soak_deployment import CONNECTIONS, QUOTA_PERIOD_S, SERVICE_CONNECTIONS, http, write_row
 
 
@@ -219,5 +220,6 @@
               inject_quotas(deployment, generator("quota"), seconds if settings.quota else 0),
               inject_successions(deployment, generator("successions"), seconds if settings.successions else 0),
               inject_call_faults(deployment, generator("calls"), seconds if settings.call_faults else 0),
-              inject_crowds(deployment, generator("crowds"), seconds if settings.crowds else 0)]
+              inject_crowds(deployment, generator("crowds"), seconds if settings.crowds else 0),
+              inject_late_starts(deployment, generator("late starts"), seconds if settings.late_starts else 0)]
     return [asyncio.create_task(fault) for fault in faults]
--- a/standins/platform_worker.cpp
+++ b/standins/platform_worker.cpp
@@ -213,6 +213,7 @@
         restart();
     }
     absl::MutexLock lock(&mutex_);
+    absentUntil_ = monotonicNow() + Milliseconds(body.value("absent_ms", 0));
     callFault_ = body.value("calls", std::string());
     lateShare_ = body.value("late_share", 0.0);
     model_->failsNewRuns = body.value("fail_all", false);
@@ -329,6 +330,9 @@
         absl::MutexLock lock(&mutex_);
         model_->advance(monotonicNow());
         writeRunLog();
+        if (monotonicNow() < absentUntil_) {
+            return;
+        }
         call.body = json{{"service", options_.service},
                          {"addr", address},
                          {"zone", options_.domain},
--- a/standins/platform_worker.h
+++ b/standins/platform_worker.h
@@ -70,6 +70,7 @@
     /** What the platform's calls get in place of an answer: a status, "odd" or "none"; empty for an answer. */
     std::string callFault_ ABSL_GUARDED_BY(mutex_);
     double lateShare_ ABSL_GUARDED_BY(mutex_) = 0; ///< Share of starts that stay unanswered and are executed late.
+    MonotonicTime absentUntil_ ABSL_GUARDED_BY(mutex_); ///< The process sends no announcement before.
     int64_t announcementSequence_ ABSL_GUARDED_BY(mutex_) = 0;
     std::vector<bool> isEndLogged_ ABSL_GUARDED_BY(mutex_); ///< By index in the history of the model.
     int startCount_ ABSL_GUARDED_BY(mutex_) = 0;
