--- a/tests/promises/deployment_troubles_test.cpp
+++ b/tests/promises/deployment_troubles_test.cpp
@@ -241,6 +241,11 @@
 TEST_CASE("Late starts that reach a successor beside further troubles: no task runs twice at the same time")
 {
     checkPlan(8, Trouble::RestartWorker, Trouble::FreezeAgentsAndEntries);
+}
+
+// Guards against an end that an agent reports while it sees a late start of the task.
+TEST_CASE("Late starts that reach a successor beside killed agents: no task runs twice at the same time")
+{
     checkPlan(8, Trouble::KillAgents, Trouble::RestartWorker);
     PlayConditions conditions;
     conditions.maxCallerEndDelay = MaxCallerEndDelay;
