Agent: call a worker whose connections end as soon as one that refuses them

Cause: the probes of each tick, while a start is unanswered, counted refused connections only. Change: the HTTP client tells a connection that has ended without a response from a call without one; the former counts like a refused connection. Calls without any answer keep their growing delays. Tests: http_client_test.cpp; the case on probes in worker_supervisor_late_start_test.cpp covers both.

--- a/connection/http_client.cpp
+++ b/connection/http_client.cpp
@@ -273,6 +273,7 @@
         } else {
             result.outcome = transfer->sendCount == 0 ? HttpOutcome::NotSent : HttpOutcome::Uncertain;
             result.isRefused = code == CURLE_COULDNT_CONNECT;
+            result.isBrokenOff = !result.isRefused && code != CURLE_OPERATION_TIMEDOUT && !transfer->isPastDeadline;
             result.errorMessage = transfer->isPastDeadline ? "send deadline passed before the request was sent"
                                                            : curl_easy_strerror(code);
         }
--- a/connection/http_client.h
+++ b/connection/http_client.h
@@ -36,6 +36,7 @@
     std::string body;
     std::string errorMessage; ///< Why there is no response; empty if there is one.
     bool isRefused = false; ///< No process accepts connections at the address.
+    bool isBrokenOff = false; ///< The connection has ended without a response.
 };
 
 /**
--- a/request/worker_contact.cpp
+++ b/request/worker_contact.cpp
@@ -48,7 +48,7 @@
     }
     lastFailedCall_ = std::max(lastFailedCall_, reply.callId);
     wasUnanswered_ = reply.outcome == CallOutcome::Unresolved;
-    wasRefused_ = reply.isRefused;
+    hadNoConnection_ = reply.isRefused || reply.isBrokenOff;
     ++failedPolls_;
     nextProbeAt_ = now + schedule_.nextDelay();
 }
@@ -56,7 +56,7 @@
 void WorkerContact::forgetFailedPolls()
 {
     wasUnanswered_ = false;
-    wasRefused_ = false;
+    hadNoConnection_ = false;
     failedPolls_ = 0;
 }
 
--- a/request/worker_contact.h
+++ b/request/worker_contact.h
@@ -49,12 +49,12 @@
     }
 
     /**
-     * Whether a probe is cheap and may soon be answered: no process accepts connections, as while a worker restarts, or
+     * Whether a probe is cheap and may soon be answered: no process keeps connections, as while a worker restarts, or
      * the contact has just been lost.
      */
     bool isRestartLikely() const
     {
-        return isLost() && (wasRefused_ || failedPolls_ <= 1);
+        return isLost() && (hadNoConnection_ || failedPolls_ <= 1);
     }
 
     /** Whether the connections that are open may be dead. */
@@ -71,7 +71,7 @@
     int64_t lastFailedCall_ = 0;
     MonotonicTime nextProbeAt_;
     bool wasUnanswered_ = false; ///< The last poll had no reply at all.
-    bool wasRefused_ = false; ///< The connection for the last poll was refused.
+    bool hadNoConnection_ = false; ///< The connection for the last poll was refused or has ended.
     int failedPolls_ = 0; ///< Since the last answer.
 };
 
--- a/request/worker_protocol.h
+++ b/request/worker_protocol.h
@@ -160,6 +160,7 @@
     std::optional<RunListing> listing; ///< Set if a PollRuns call was accepted.
     std::string errorMessage; ///< Used in logs only.
     bool isRefused = false; ///< No process accepts connections at the worker's address.
+    bool isBrokenOff = false; ///< The connection has ended without an answer.
 };
 
 /** The name of a rejection in logs and in the reasons of ended runs. */
--- a/tests/connection/http_client_test.cpp
+++ b/tests/connection/http_client_test.cpp
@@ -166,6 +166,27 @@
     CHECK(callAndWait(client, call).outcome == HttpOutcome::Answered);
 }
 
+// Guards against a worker that is called late because the end of its connection looks like a call without an answer.
+TEST_CASE("A connection that has ended is told from a call without an answer, and from a refused connection")
+{
+    ClosingServer closing;
+    HttpClient client(4);
+    HttpCall call;
+    call.url = closing.url();
+    CHECK_FALSE(callAndWait(client, call).isBrokenOff);
+    CHECK(callAndWait(client, call).isBrokenOff);
+
+    SilentServer silent;
+    call.url = silent.url();
+    call.timeout = Milliseconds(50);
+    CHECK_FALSE(callAndWait(client, call).isBrokenOff);
+
+    call.url = "http://127.0.0.1:1/run";
+    const HttpResult refused = callAndWait(client, call);
+    CHECK(refused.isRefused);
+    CHECK_FALSE(refused.isBrokenOff);
+}
+
 TEST_CASE("A request past its send deadline is not sent")
 {
     ClosingServer server;
--- a/tests/request/worker_supervisor_late_start_test.cpp
+++ b/tests/request/worker_supervisor_late_start_test.cpp
@@ -253,8 +253,9 @@
 }
 
 // Guards against a restarted worker that executes earlier starts for half a second, until the agent's first call.
-TEST_CASE("A worker that refuses connections is called at each tick while a start is unanswered, and later rarely")
+TEST_CASE("A worker without connections is called at each tick while a start is unanswered, and later rarely")
 {
+    const bool isRefused = GENERATE(true, false);
     constexpr Milliseconds Tick{20};
     constexpr Milliseconds RareDelay{375}; // 500 ms, shortened by a quarter.
     UnansweredFirstStart fixture;
@@ -278,8 +279,10 @@
         }
         lastPollAt = now;
         for (const PollRuns &each : output.polls) {
-            WorkerReply reply = refused(each.callId);
-            reply.outcome = CallOutcome::NotSent;
+            WorkerReply reply = unanswered(each.callId);
+            reply.outcome = isRefused ? CallOutcome::NotSent : CallOutcome::Unresolved;
+            reply.isRefused = isRefused;
+            reply.isBrokenOff = !isRefused;
             supervisor.handleReply(reply, now);
         }
     }
