Agent and tests: names of reported ends, one way to play a late start

Reading the diff: WithheldEnd was also the name of ends that are reported at once; it is ReportedEnd, and says what its time stands for.

--- a/request/worker_supervisor.h
+++ b/request/worker_supervisor.h
@@ -172,12 +172,12 @@
         Later,
     };
 
-    /** An end that is not reported yet, since another run of the task may be on the worker. */
-    struct WithheldEnd
+    /** The end of a run or the rejection of an order, and the evidence without which it is not reported. */
+    struct ReportedEnd
     {
         RunKey key;
         EndedRun end;
-        /** The listing of a call sent since then has to show what the worker runs; nothing if one has. */
+        /** A call sent since then has to list what the worker runs; nothing if what ended the run shows that. */
         std::optional<MonotonicTime> listingSince;
     };
 
@@ -251,11 +251,11 @@
                    const std::string &reason,
                    MonotonicTime now,
                    std::optional<MonotonicTime> listingSince = std::nullopt);
-    void reportEnd(WithheldEnd reported);
+    void reportEnd(ReportedEnd reported);
     std::optional<MonotonicTime> listingNeededSince(const RunKey &key, MonotonicTime now) const;
-    std::string_view endObstacle(const WithheldEnd &reported) const;
+    std::string_view endObstacle(const ReportedEnd &reported) const;
     void releaseEnds();
-    void releaseEnds(const std::function<bool(const WithheldEnd &)> &isReleased);
+    void releaseEnds(const std::function<bool(const ReportedEnd &)> &isReleased);
     Demand claimedDemand() const;
     bool mayStartAgain(const RunRequest &request) const;
     bool canStartRuns() const;
@@ -303,7 +303,7 @@
     bool isLeaseUnknown_ = false;
     UnknownRuns unknownRuns_;
     UnansweredStarts unansweredStarts_;
-    std::vector<WithheldEnd> withheldEnds_;
+    std::vector<ReportedEnd> withheldEnds_; ///< Until no other run of their task can be on the worker.
     MonotonicTime listedAllAt_; ///< When the newest call was sent whose listing of the present process is complete.
     bool isReconciled_ = false; ///< The worker accepted the required fence and has no unknown runs.
     bool isDraining_ = false;
--- a/request/worker_supervisor_ends.cpp
+++ b/request/worker_supervisor_ends.cpp
@@ -28,7 +28,7 @@
          {"outcome", wire::_RunOutcome_VALUES_TO_NAMES.at(outcome)},
          {"reason", reason},
          {"ran_ms", absl::StrCat(ranMs)}});
-    WithheldEnd ended{key, EndedRun{run.request.orderId, outcome, reason, ranMs}, listingSince};
+    ReportedEnd ended{key, EndedRun{run.request.orderId, outcome, reason, ranMs}, listingSince};
     startCalls_.erase(run.startCallId);
     runs_.erase(found);
     reportEnd(std::move(ended));
@@ -39,7 +39,7 @@
     log(LogEvent::Level::Info,
         "run_rejected",
         {{"request", request.requestId}, {"run", describe(request.key)}, {"reason", reason}});
-    reportEnd(WithheldEnd{request.key,
+    reportEnd(ReportedEnd{request.key,
                           EndedRun{request.orderId, wire::RunOutcome::NOT_STARTED, reason, 0},
                           listingNeededSince(request.key, now)});
 }
@@ -75,11 +75,11 @@
     }
     rejectWaitingRuns(reason, now);
     startCalls_.clear();
-    releaseEnds([](const WithheldEnd &) { return true; });
+    releaseEnds([](const ReportedEnd &) { return true; });
 }
 
 /** Reports an end, or withholds it while another run of the task may be on the worker. A task that is done ends so. */
-void WorkerSupervisor::reportEnd(WithheldEnd reported)
+void WorkerSupervisor::reportEnd(ReportedEnd reported)
 {
     const bool isDone = reported.end.outcome == wire::RunOutcome::DONE;
     const std::string_view obstacle = isDone ? "" : endObstacle(reported);
@@ -104,7 +104,7 @@
 }
 
 /** Why another run of the task may be on the worker; empty if none can be. */
-std::string_view WorkerSupervisor::endObstacle(const WithheldEnd &reported) const
+std::string_view WorkerSupervisor::endObstacle(const ReportedEnd &reported) const
 {
     if (unknownRuns_.hasRunOfTask(reported.key)) {
         return "unknown_run";
@@ -118,12 +118,12 @@
 
 void WorkerSupervisor::releaseEnds()
 {
-    releaseEnds([this](const WithheldEnd &each) { return endObstacle(each).empty(); });
+    releaseEnds([this](const ReportedEnd &each) { return endObstacle(each).empty(); });
 }
 
-void WorkerSupervisor::releaseEnds(const std::function<bool(const WithheldEnd &)> &isReleased)
+void WorkerSupervisor::releaseEnds(const std::function<bool(const ReportedEnd &)> &isReleased)
 {
-    for (const WithheldEnd &each : withheldEnds_) {
+    for (const ReportedEnd &each : withheldEnds_) {
         if (isReleased(each)) {
             log(LogEvent::Level::Info, "run_end_released", {{"run", describe(each.key)}});
             output_.ends.push_back(each.end);
--- a/request/worker_supervisor_polls.cpp
+++ b/request/worker_supervisor_polls.cpp
@@ -220,7 +220,7 @@
 {
     const MonotonicTime sentAt = pendingPolls_.empty() ? listedAllAt_ : pendingPolls_.rbegin()->second.sentAt;
     return std::ranges::any_of(
-        withheldEnds_, [&](const WithheldEnd &each) { return each.listingSince && *each.listingSince > sentAt; });
+        withheldEnds_, [&](const ReportedEnd &each) { return each.listingSince && *each.listingSince > sentAt; });
 }
 
 /**
--- a/tests/request/worker_supervisor_late_start_test.cpp
+++ b/tests/request/worker_supervisor_late_start_test.cpp
@@ -70,6 +70,15 @@
         return std::nullopt;
     }
 
+    /** Lets the next process of the worker list the first run at @p seen, and accept the raised fence after that. */
+    OutputByKind executeFirstLate(MonotonicTime seen)
+    {
+        supervisor.handleReply(listed(pending.callId, {First}, {}, NextStartTimeMs), seen);
+        const OutputByKind restarted(supervisor.takeOutput());
+        CHECK(restarted.ends.empty());
+        return answer(supervisor, restarted, {First}, NextStartTimeMs, seen + Milliseconds(1));
+    }
+
 private:
     PollRuns startSecondRun()
     {
@@ -164,11 +173,8 @@
 {
     constexpr Milliseconds LongestLease{1020}; // 1,000 ms on a clock that is 2% slow.
     UnansweredFirstStart fixture;
-    WorkerSupervisor &supervisor = fixture.supervisor;
     const MonotonicTime seen = Start + Milliseconds(100);
-    supervisor.handleReply(listed(fixture.pending.callId, {First}, {}, NextStartTimeMs), seen);
-    OutputByKind output(supervisor.takeOutput());
-    output = answer(supervisor, output, {First}, NextStartTimeMs, seen + Milliseconds(1));
+    OutputByKind output = fixture.executeFirstLate(seen);
     CHECK(output.ends.empty());
     const auto endedAt = fixture.endInSilence(seen + Milliseconds(2), seen + Milliseconds(3000));
     REQUIRE(endedAt);
@@ -314,9 +320,7 @@
     UnansweredFirstStart fixture;
     WorkerSupervisor &supervisor = fixture.supervisor;
     const MonotonicTime seen = Start + Milliseconds(100);
-    supervisor.handleReply(listed(fixture.pending.callId, {First}, {}, NextStartTimeMs), seen);
-    OutputByKind output(supervisor.takeOutput());
-    output = answer(supervisor, output, {First}, NextStartTimeMs, seen + Milliseconds(1));
+    OutputByKind output = fixture.executeFirstLate(seen);
     supervisor.tick(seen + Milliseconds(20));
     output = OutputByKind(supervisor.takeOutput());
     REQUIRE(output.polls.size() == 1);
--- a/tests/support/work_simulation.h
+++ b/tests/support/work_simulation.h
@@ -285,7 +285,7 @@
         int64_t receiverStartTimeMs = 0; ///< Of the process that it was sent to.
     };
 
-    /** A run that the successor of the process has executed which the start was sent to. */
+    /** A run by a late start that was sent to an earlier process of the worker than the one that executes it. */
     struct UnsentRun
     {
         int agent = 0;
