--- a/misc/soak.py
+++ b/misc/soak.py
@@ -118,7 +118,7 @@
         await asyncio.sleep(0.1)  # The store may still be starting, if processor time is short.
 
 
-def find_violations(deployment, work, results, settings):
+def find_violations(work, results, settings, held_calls=()):
     """Checks the invariants against what callers and workers observed; returns descriptions."""
     violations, runs = [], {}
     for index in range(settings.workers):
@@ -137,10 +137,10 @@
         for before, after in zip(rows, rows[1:]):
             # 1 ms tolerance, because the log has whole milliseconds.
             is_overlap = after["from"] < before.get("to", float("inf")) - 1
-            if is_overlap and not is_unsent(deployment, before) and not is_unsent(deployment, after):
+            if is_overlap and not is_unsent(held_calls, before) and not is_unsent(held_calls, after):
                 violations.append(f"{task} ran twice at the same time: {before} and {after}")
-    violations += find_premature_ends(deployment, work, runs.values())
-    sent = {task: [row for row in rows if not is_unsent(deployment, row)] for task, rows in tasks.items()}
+    violations += find_premature_ends(held_calls, work, runs.values())
+    sent = {task: [row for row in rows if not is_unsent(held_calls, row)] for task, rows in tasks.items()}
     for record in results:
         of_job = [task for task in tasks if task.startswith(record["job"] + ".")]
         started = [row for task in of_job for row in sent[task]]
@@ -218,7 +218,7 @@
     finally:
         deployment.kill_all()
     await asyncio.sleep(0.3)  # The proxies close the connections of the processes that have ended.
-    violations = find_violations(deployment, work, results + final_results, settings) + memory_violations
+    violations = find_violations(work, results + final_results, settings, deployment.held_calls) + memory_violations
     with open(f"{work}/clients.json", "w") as out:
         # Runs are logged with the time of the monotonic clock.
         json.dump({"wall_time": wall_time(), "monotonic_s": time.monotonic(), "violations": violations,
--- a/misc/soak_late_starts.py
+++ b/misc/soak_late_starts.py
@@ -81,11 +81,11 @@
         each.is_active = False
 
 
-def is_unsent(deployment, row):
+def is_unsent(held_calls, row):
     """Whether the worker has executed a start that its process was not sent."""
     return any(run["worker"] == row["worker"] and run["task"] == row["task"] and run["run"] == row["run"]
                and -2 <= row["from"] - run["sent_ms"] < 1000
-               for calls in deployment.held_calls for run in calls.unsent_runs)
+               for calls in held_calls for run in calls.unsent_runs)
 
 
 def read_events(path, clock_offset_s):
@@ -102,12 +102,12 @@
     return events
 
 
-def find_premature_ends(deployment, work, runs):
+def find_premature_ends(held_calls, work, runs):
     """Ends that an agent has reported while it saw another run of the task on its worker."""
     clock_offset_s = time.time() - time.monotonic()
     violations = []
-    for index, calls in enumerate(deployment.held_calls):
-        unsent = [row for row in runs if row["worker"] == calls.worker and is_unsent(deployment, row)]
+    for index, calls in enumerate(held_calls):
+        unsent = [row for row in runs if row["worker"] == calls.worker and is_unsent(held_calls, row)]
         events = read_events(f"{work}/agent{index}.log", clock_offset_s)
         for position, (at, event, run, reason) in enumerate(events):
             is_withheld = any(other[1] == "run_end_withheld" and other[2] == run
